Add the workspace, the design page and the policy document

Cause: the project starts empty; every program needs the same policy model, keys and time types. Change: workspace, design page, policy scanner, checks and canonical writer, shared types of the pool. Conclusion: the base that the other parts build on.

--- /dev/null
+++ b/crates/core/src/block.rs
@@ -0,0 +1,1 @@
+//! Client block table.
--- /dev/null
+++ b/crates/core/src/budget.rs
@@ -0,0 +1,1 @@
+//! Budgets of retries and hedges.
--- /dev/null
+++ b/crates/core/src/choice.rs
@@ -0,0 +1,1 @@
+//! Choice of a target.
--- /dev/null
+++ b/crates/core/src/evidence.rs
@@ -0,0 +1,1 @@
+//! Age of measurements.
--- /dev/null
+++ b/crates/core/src/key.rs
@@ -0,0 +1,1 @@
+//! Journal of request keys at their arbiter.
--- /dev/null
+++ b/crates/core/src/lease.rs
@@ -0,0 +1,1 @@
+//! Leases with epochs.
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,28 @@
+//! Traffic steering decisions of ebonypass.
+//!
+//! This crate has no input, output, clock or thread. Time is an argument, so each decision can be
+//! replayed. The programs put sockets, files and timers round it.
+
+pub mod block;
+pub mod budget;
+mod check;
+pub mod choice;
+pub mod evidence;
+pub mod fault;
+pub mod id;
+pub mod key;
+pub mod lease;
+pub mod outcome;
+pub mod pacer;
+pub mod policy;
+pub mod pool;
+pub mod queue;
+pub mod roster;
+pub mod scan;
+pub mod seat;
+pub mod share;
+pub mod shift;
+pub mod text;
+pub mod time;
+pub mod topology;
+pub mod version;
--- /dev/null
+++ b/crates/core/src/pacer.rs
@@ -0,0 +1,1 @@
+//! Token bucket.
--- /dev/null
+++ b/crates/core/src/queue.rs
@@ -0,0 +1,1 @@
+//! Fair queue over flows.
--- /dev/null
+++ b/crates/core/src/roster.rs
@@ -0,0 +1,1 @@
+//! Live entries and rendezvous choice.
--- /dev/null
+++ b/crates/core/src/seat.rs
@@ -0,0 +1,1 @@
+//! Leased slices of link caps.
--- /dev/null
+++ b/crates/core/src/share.rs
@@ -0,0 +1,1 @@
+//! Lending of link rate between seats.
--- /dev/null
+++ b/crates/core/src/shift.rs
@@ -0,0 +1,1 @@
+//! Steps of traffic shifts and credits.
--- /dev/null
+++ b/crates/core/src/text.rs
@@ -0,0 +1,122 @@
+//! Writes a policy document as TOML text.
+//!
+//! The text is canonical: equal documents give equal text, so version control shows only what an
+//! operator changed.
+
+use std::fmt::{self, Write};
+
+use crate::policy::{Document, SCHEMA, Service, Subject};
+
+/// The text of `document`. [`crate::scan::scan_document`] gives the same document back.
+pub fn write_document(document: &Document) -> String {
+    let mut text = String::new();
+    // Writing to a string cannot fail.
+    let _ = write_all(&mut text, document);
+    text
+}
+
+fn write_all(out: &mut impl Write, document: &Document) -> fmt::Result {
+    writeln!(out, "schema = {SCHEMA}\n\n[shift]")?;
+    writeln!(out, "max_step_percent = {}", document.shift_limit.max_step_percent)?;
+    let interval_s = document.shift_limit.step_interval.as_micros() / 1_000_000;
+    writeln!(out, "step_interval_s = {interval_s}")?;
+    for member in document.members.values() {
+        writeln!(out, "\n[[member]]\nname = \"{}\"", member.name)?;
+    }
+    for region in document.regions.values() {
+        writeln!(out, "\n[[region]]\nname = \"{}\"\nseats = {}", region.name, region.seats)?;
+    }
+    for centre in document.centres.values() {
+        let region = &document.regions[centre.region].name;
+        writeln!(out, "\n[[data_centre]]\nname = \"{}\"\nregion = \"{region}\"", centre.name)?;
+    }
+    for link in &document.links {
+        let from = &document.regions[link.from].name;
+        let to = &document.regions[link.to].name;
+        writeln!(out, "\n[[link]]\nfrom = \"{from}\"\nto = \"{to}\"")?;
+        writeln!(out, "cap_mbit = {}\ndelay_us = {}", link.cap_mbit, link.delay.as_micros())?;
+    }
+    for service in document.services.values() {
+        write_service(out, document, service)?;
+    }
+    write_drains(out, document)?;
+    for block in &document.blocks {
+        let centre = &document.centres[block.centre].name;
+        writeln!(out, "\n[[block]]\ncidr = \"{}/{}\"", block.network, block.prefix)?;
+        writeln!(out, "data_centre = \"{centre}\"")?;
+    }
+    Ok(())
+}
+
+fn write_service(out: &mut impl Write, document: &Document, service: &Service) -> fmt::Result {
+    let members = service.members.iter().map(|&member| document.members[member].name.as_str());
+    let members: Vec<String> = members.map(|name| format!("\"{name}\"")).collect();
+    writeln!(out, "\n[[service]]\nname = \"{}\"", service.name)?;
+    writeln!(out, "members = [{}]", members.join(", "))?;
+    writeln!(out, "slots = {}\nconnections = {}", service.slots, service.connections)?;
+    let targets = service.placement.iter().map(|placement| {
+        format!("{} = {}", document.centres[placement.centre].name, placement.count)
+    });
+    let targets: Vec<String> = targets.collect();
+    writeln!(out, "targets = {{ {} }}", targets.join(", "))?;
+    for &kind in &service.kinds {
+        let kind = &document.kinds[kind];
+        writeln!(out, "\n[[service.kind]]\nname = \"{}\"", kind.name)?;
+        writeln!(out, "idempotent = {}", kind.idempotent)?;
+        writeln!(out, "deadline_ms = {}", kind.deadline.as_millis())?;
+    }
+    for shift in &document.shifts {
+        if document.services[shift.service].name == service.name {
+            let from = &document.regions[shift.from].name;
+            let to = &document.regions[shift.to].name;
+            writeln!(out, "\n[[service.shift]]\nfrom = \"{from}\"\nto = \"{to}\"")?;
+            writeln!(out, "percent = {}", shift.percent)?;
+        }
+    }
+    Ok(())
+}
+
+fn write_drains(out: &mut impl Write, document: &Document) -> fmt::Result {
+    for drain in &document.drains {
+        writeln!(out, "\n[[drain]]")?;
+        match drain.subject {
+            Subject::Centre(centre) => {
+                writeln!(out, "data_centre = \"{}\"", document.centres[centre].name)?;
+            }
+            Subject::Target(target) => {
+                writeln!(out, "target = \"{}\"", document.targets[target].name)?;
+            }
+        }
+        writeln!(out, "from = {}", UnixTime(drain.from_s))?;
+        writeln!(out, "until = {}", UnixTime(drain.until_s))?;
+    }
+    Ok(())
+}
+
+/// Seconds of Unix time, shown as a TOML date and time in UTC.
+#[derive(Debug, Clone, Copy)]
+pub struct UnixTime(pub u64);
+
+impl fmt::Display for UnixTime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (year, month, day) = date_of(self.0 / 86_400);
+        let second = self.0 % 86_400;
+        let (hour, minute) = (second / 3_600, second / 60 % 60);
+        write!(f, "{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{:02}Z", second % 60)
+    }
+}
+
+/// Year, month and day of the Gregorian calendar, `days` after 1970-01-01.
+fn date_of(days: u64) -> (u64, u64, u64) {
+    // Years start in March here, so that the leap day is the last day of a year.
+    let days = days + 719_468;
+    let day_of_era = days % 146_097;
+    let year_of_era =
+        (day_of_era - day_of_era / 1_460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let shifted_month = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * shifted_month + 2) / 5 + 1;
+    let month = if shifted_month < 10 { shifted_month + 3 } else { shifted_month - 9 };
+    let year = days / 146_097 * 400 + year_of_era + u64::from(month <= 2);
+    (year, month, day)
+}
--- /dev/null
+++ b/crates/core/src/topology.rs
@@ -0,0 +1,1 @@
+//! Arena tree of regions, data centres and targets.
--- /dev/null
+++ b/crates/core/src/version.rs
@@ -0,0 +1,1 @@
+//! Versions of the configuration.
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder until the program lands.
+fn main() {}
--- /dev/null
+++ b/crates/node/src/event.rs
@@ -0,0 +1,1 @@
+//! Numbered log events.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,12 @@
+//! Sockets, timers, settings, logs and metrics round the decisions of `ebonypass-core`.
+
+pub mod event;
+pub mod metric;
+pub mod peer;
+pub mod settings;
+pub mod stop;
+pub mod store;
+pub mod target;
+pub mod tls;
+pub mod trace;
+pub mod wire;
--- /dev/null
+++ b/crates/node/src/metric.rs
@@ -0,0 +1,1 @@
+//! Metrics and their endpoint.
--- /dev/null
+++ b/crates/node/src/peer.rs
@@ -0,0 +1,1 @@
+//! QUIC connections between entries.
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,1 @@
+//! TOML settings of the programs.
--- /dev/null
+++ b/crates/node/src/stop.rs
@@ -0,0 +1,1 @@
+//! Graceful stop on signals.
--- /dev/null
+++ b/crates/node/src/store.rs
@@ -0,0 +1,1 @@
+//! The platform's store and VM list, met only here.
--- /dev/null
+++ b/crates/node/src/target.rs
@@ -0,0 +1,1 @@
+//! The targets' wire, met only here.
--- /dev/null
+++ b/crates/node/src/tls.rs
@@ -0,0 +1,1 @@
+//! Keys and certificates.
--- /dev/null
+++ b/crates/node/src/trace.rs
@@ -0,0 +1,1 @@
+//! Trace context and spans.
--- /dev/null
+++ b/crates/node/src/wire.rs
@@ -0,0 +1,1 @@
+//! Frames between entries.
--- /dev/null
+++ b/crates/replay/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder until the first module lands.
