--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -41,6 +41,7 @@
 
 /// What the caller of the pool has to do next.
 #[derive(Debug, Clone, Copy, PartialEq)]
+#[expect(missing_docs, reason = "the fields are explained by their types")]
 pub enum Action {
     /// Send the job to the target.
     Dispatch { ticket: Ticket, attempt: Attempt, target: TargetId },
