--- /dev/null
+++ b/crates/core/src/admit.rs
@@ -0,0 +1,78 @@
+//! Admission: a job whose answer cannot come in time is refused when it is offered.
+
+use crate::cost::CostId;
+use crate::outcome::Reason;
+use crate::pool::{Job, Pool};
+use crate::queue::LaneId;
+use crate::time::{Instant, Span};
+
+/// The predicted wait is taken this many percent longer, since it is an average.
+const WAIT_PERCENT: u64 = 125;
+
+impl Pool {
+    /// Checks that there is room for the job and that its answer can come in time.
+    pub(crate) fn admit(
+        &mut self,
+        now: Instant,
+        job: &Job,
+        lane: LaneId,
+        cost: CostId,
+    ) -> Result<(), Reason> {
+        // Each flow may fill as much of the queue as it leaves free, so that none fills it all.
+        let free = self.config.queue_limit.saturating_sub(self.queue.len());
+        if self.queue[lane].len() as usize >= free {
+            return Err(Reason::QueueFull);
+        }
+        let left = job.deadline.since(now);
+        let wait = self.predict_wait(now, lane, cost);
+        let wait = Span::from_micros(wait.as_micros().saturating_mul(WAIT_PERCENT) / 100);
+        if wait + self.service_allowance(cost, left) > left {
+            return Err(Reason::DeadlineTooClose);
+        }
+        Ok(())
+    }
+
+    /// The time that is kept for the service of a job with `left` until its deadline: the kind's
+    /// 99th percentile, but at most half of what is left unless the median is more.
+    fn service_allowance(&self, cost: CostId, left: Span) -> Span {
+        let cost = &self.costs[cost];
+        let half = Span::from_micros(left.as_micros() / 2);
+        cost.p99().min(half).max(cost.median())
+    }
+
+    /// The expected wait of a job that joins `lane` now.
+    fn predict_wait(&mut self, now: Instant, lane: LaneId, cost: CostId) -> Span {
+        if self.queue.len() == 0 && self.places.has_free_slot() {
+            return Span::ZERO;
+        }
+        let is_long = self.costs[cost].is_long();
+        let mean = self.costs[cost].mean();
+        let slots = f64::from(self.places.usable_slots().max(1));
+        let long_limit = f64::from(self.places.long_limit());
+        let (queue, costs) = (&self.queue, &self.costs);
+        // A waiting flow of a long kind wants no more than the limit, any other takes all it gets.
+        let wanted = |other: LaneId| {
+            let other = &queue[other];
+            let most = if costs[other.cost()].is_long() { long_limit } else { slots };
+            (other.len() > 0).then_some(most)
+        };
+        let share = self.demand.share(now, slots, wanted);
+        // Of the slots in use, the first becomes free after about this time.
+        let first_us = mean.as_micros() as f64 / slots;
+        let distance = self.queue.distance(lane, mean).as_micros() as f64;
+        let mut wait_us = distance / share + first_us;
+        if is_long {
+            let work = self.waiting_long_work().as_micros() as f64;
+            wait_us = wait_us.max(work / long_limit + first_us);
+        }
+        Span::from_micros(wait_us as u64)
+    }
+
+    /// The slot time of all waiting jobs of long kinds.
+    fn waiting_long_work(&self) -> Span {
+        let lanes = self.queue.waiting().iter().map(|&lane| &self.queue[lane]);
+        let long = lanes.filter(|lane| self.costs[lane.cost()].is_long());
+        let work = long.map(|lane| self.costs[lane.cost()].mean().times(lane.len().into()));
+        work.fold(Span::ZERO, |sum, work| sum + work)
+    }
+}
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -1,1 +1,424 @@
-//! Choice of a target.
+//! Choice of a target, from the pool's own evidence.
+//!
+//! Evidence is what the pool's own attempts show: how many are in flight, how long the oldest
+//! ones have been unanswered against the kind's learned slot time, and how long the recent ones
+//! took. A load report only breaks ties.
+
+use crate::id::{Arena, TargetId, key};
+use crate::pool::{Load, Spec, State};
+use crate::time::{Instant, Span};
+
+key! {
+    /// A target of the pool.
+    PlaceId(u32)
+}
+
+/// Evidence points of an attempt that passes the 90th and the 99th percentile of its kind and
+/// twice the latter: about -ln of the chance that a healthy target shows it.
+pub(crate) const STAGE_POINTS: [u32; 3] = [2, 3, 5];
+/// Sum of the points of the attempts in flight that makes a target a suspect.
+const SUSPECT_POINTS: u32 = 9;
+/// Average of slot time over the kind's mean, in 1/256, that makes a target a suspect.
+const SUSPECT_RATIO: u32 = 256 * 5 / 2;
+/// Ratios above this are clamped, so that one answer does not rule the average.
+const MAX_RATIO: u32 = 256 * 16;
+/// Answers before the average says anything.
+const RATIO_SAMPLES: u32 = 8;
+/// Probes in a row that re-admit a suspect.
+const GOOD_PROBES: u32 = 2;
+/// Bounds of the time between two probes, which doubles after each bad one.
+const FIRST_PROBE: Span = Span::from_millis(20);
+const LAST_PROBE: Span = Span::from_millis(320);
+/// Bounds of the time for which a target that sheds is left alone.
+const FIRST_REST: Span = Span::from_millis(2);
+const LAST_REST: Span = Span::from_millis(500);
+/// A load report older than this says nothing about the queue of the target.
+const LOAD_LIFETIME: Span = Span::from_secs(1);
+/// A target whose reports have stopped for this long is used with caution.
+const LOAD_SILENCE: Span = Span::from_secs(3);
+/// The pool's own answers confirm free slots for this long.
+const CONFIRMED_FOR: Span = Span::from_secs(10);
+
+/// Why a target is a suspect, and what probes have shown.
+#[derive(Debug, Clone, Copy)]
+struct Suspicion {
+    probe_at: Instant,
+    interval: Span,
+    good_probes: u32,
+    is_probing: bool,
+}
+
+/// A target of the pool.
+#[derive(Debug)]
+pub(crate) struct Place {
+    target: TargetId,
+    spec: Spec,
+    in_flight: u32,
+    long_in_flight: u32,
+    points: u32,
+    ratio: u32,
+    answers: u32,
+    last_answer: Option<Instant>,
+    last_choice: u64,
+    suspicion: Option<Suspicion>,
+    rest: Span,
+    rest_until: Instant,
+    load: Option<(Instant, Load)>,
+}
+
+impl Place {
+    fn new(target: TargetId, spec: Spec) -> Place {
+        Place {
+            target,
+            spec,
+            in_flight: 0,
+            long_in_flight: 0,
+            points: 0,
+            ratio: 256,
+            answers: 0,
+            last_answer: None,
+            last_choice: 0,
+            suspicion: None,
+            rest: Span::ZERO,
+            rest_until: Instant::ZERO,
+            load: None,
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        self.spec.state == State::Ready
+    }
+
+    fn is_usable(&self) -> bool {
+        self.is_ready() && self.suspicion.is_none()
+    }
+
+    fn free_slots(&self) -> u32 {
+        self.spec.slots.saturating_sub(self.in_flight)
+    }
+
+    fn has_slot(&self, is_long: bool) -> bool {
+        // A long kind never holds all slots of one target.
+        let long_limit = self.spec.slots.saturating_sub(1).max(1);
+        self.in_flight < self.spec.slots && (!is_long || self.long_in_flight < long_limit)
+    }
+
+    /// Requests that wait at the target, from a fresh load report.
+    fn reported_queue(&self, now: Instant) -> u32 {
+        let fresh = self.load.filter(|(at, _)| now.since(*at) <= LOAD_LIFETIME);
+        fresh.map_or(0, |(_, load)| load.queued)
+    }
+
+    fn is_silent(&self, now: Instant) -> bool {
+        self.load.is_some_and(|(at, _)| now.since(at) > LOAD_SILENCE)
+    }
+}
+
+/// The targets of one pool.
+#[derive(Debug, Default)]
+pub(crate) struct Places {
+    places: Arena<PlaceId, Place>,
+    choices: u64,
+    ready_slots: u32,
+    usable_slots: u32,
+    free_slots: u32,
+    long_in_flight: u32,
+    suspects: u32,
+}
+
+impl Places {
+    /// Adds or changes a target.
+    pub(crate) fn set(&mut self, target: TargetId, spec: Spec) {
+        let known = self.places.find(|place| place.target == target);
+        let unused = |place: &Place| place.spec.state == State::Gone && place.in_flight == 0;
+        match known {
+            Some(id) => {
+                if spec.state == State::Ready && self.places[id].spec.state != State::Ready {
+                    // A target that comes back is another process.
+                    let place = &mut self.places[id];
+                    place.suspicion = None;
+                    place.rest_until = Instant::ZERO;
+                    place.ratio = 256;
+                    place.answers = 0;
+                    place.last_answer = None;
+                }
+                self.places[id].spec = spec;
+            }
+            None => match self.places.find(unused) {
+                Some(id) => self.places[id] = Place::new(target, spec),
+                None => {
+                    self.places.push(Place::new(target, spec));
+                }
+            },
+        }
+        self.recount();
+    }
+
+    /// Takes in a load report.
+    pub(crate) fn note_load(&mut self, now: Instant, target: TargetId, load: Load) {
+        if let Some(id) = self.places.find(|place| place.target == target) {
+            self.places[id].load = Some((now, load));
+        }
+    }
+
+    /// The id of the target at a place.
+    pub(crate) fn target(&self, id: PlaceId) -> TargetId {
+        self.places[id].target
+    }
+
+    /// Slots of the targets that may take work, suspects included.
+    pub(crate) fn ready_slots(&self) -> u32 {
+        self.ready_slots
+    }
+
+    /// Slots of the targets that may take work and are not suspects.
+    pub(crate) fn usable_slots(&self) -> u32 {
+        self.usable_slots
+    }
+
+    /// Whether a target that is not a suspect has a free slot.
+    pub(crate) fn has_free_slot(&self) -> bool {
+        self.free_slots > 0
+    }
+
+    /// Whether any target is a suspect.
+    pub(crate) fn has_suspect(&self) -> bool {
+        self.suspects > 0
+    }
+
+    /// Whether the target at a place is a suspect.
+    pub(crate) fn is_suspect(&self, id: PlaceId) -> bool {
+        self.places[id].suspicion.is_some()
+    }
+
+    /// The most attempts of long kinds in flight at once.
+    pub(crate) fn long_limit(&self) -> u32 {
+        (self.usable_slots / 3).max(1)
+    }
+
+    /// The place for an attempt, a target that is not a suspect. Places in `avoid` are used only
+    /// if no other target may take work.
+    pub(crate) fn choose(&self, now: Instant, is_long: bool, avoid: u64) -> Option<PlaceId> {
+        if !self.has_free_slot() || (is_long && self.long_in_flight >= self.long_limit()) {
+            return None;
+        }
+        let usable = || self.places.iter().filter(|(_, place)| place.is_usable());
+        let has_other = avoid == 0 || usable().any(|(id, _)| !is_in(avoid, id));
+        let avoid = if has_other { avoid } else { 0 };
+        let trusts_silence = self.trusts_silence(now);
+        let free = usable().filter(|(id, place)| {
+            place.has_slot(is_long) && now >= place.rest_until && !is_in(avoid, *id)
+        });
+        let best = free.min_by_key(|(_, place)| self.rank(now, place, is_long, trusts_silence));
+        best.map(|(id, _)| id)
+    }
+
+    /// The order of preference: few attempts of long kinds for a long kind, no unanswered old
+    /// attempts, few attempts in flight, a good record, and the one chosen longest ago.
+    fn rank(
+        &self,
+        now: Instant,
+        place: &Place,
+        is_long: bool,
+        trusts_silence: bool,
+    ) -> (u32, u32, u32, u64) {
+        let long = if is_long { place.long_in_flight } else { 0 };
+        let mut load = place.in_flight + place.reported_queue(now);
+        load += u32::from(trusts_silence && place.is_silent(now));
+        let load = load * 1024 / place.spec.slots.max(1);
+        (long, place.points, load, u64::from(place.ratio > 384) << 63 | place.last_choice)
+    }
+
+    /// Whether a target's silence says something about that target: most others still report.
+    fn trusts_silence(&self, now: Instant) -> bool {
+        let reporting = self.places.values().filter(|place| place.load.is_some());
+        let (silent, all) = reporting.fold((0, 0), |(silent, all), place| {
+            (silent + u32::from(place.is_silent(now)), all + 1)
+        });
+        silent * 2 < all
+    }
+
+    /// A suspect that is due for a probe.
+    pub(crate) fn choose_probe(&self, now: Instant) -> Option<PlaceId> {
+        if self.suspects == 0 {
+            return None;
+        }
+        let due = self.places.iter().filter(|(_, place)| {
+            let is_due = |s: Suspicion| !s.is_probing && now >= s.probe_at;
+            place.is_ready() && place.has_slot(false) && place.suspicion.is_some_and(is_due)
+        });
+        due.min_by_key(|(_, place)| (place.in_flight, place.last_choice)).map(|(id, _)| id)
+    }
+
+    /// Counts a new attempt.
+    pub(crate) fn start(&mut self, id: PlaceId, is_long: bool, is_probe: bool) {
+        self.choices += 1;
+        let place = &mut self.places[id];
+        place.last_choice = self.choices;
+        place.in_flight += 1;
+        place.long_in_flight += u32::from(is_long);
+        self.long_in_flight += u32::from(is_long);
+        if place.is_usable() {
+            self.free_slots -= 1;
+        }
+        if let Some(suspicion) = &mut place.suspicion {
+            suspicion.is_probing |= is_probe;
+        }
+    }
+
+    /// Counts an attempt that ended after it had passed `stage` checkpoints.
+    pub(crate) fn end(&mut self, id: PlaceId, is_long: bool, stage: u8) {
+        let place = &mut self.places[id];
+        place.in_flight -= 1;
+        place.long_in_flight -= u32::from(is_long);
+        self.long_in_flight -= u32::from(is_long);
+        if place.is_usable() && place.in_flight < place.spec.slots {
+            self.free_slots += 1;
+        }
+        let points: u32 = STAGE_POINTS[..usize::from(stage)].iter().sum();
+        place.points = place.points.saturating_sub(points);
+    }
+
+    /// Takes in that an unanswered attempt has passed checkpoint `stage`. Returns whether the
+    /// target has become a suspect.
+    pub(crate) fn strike(&mut self, now: Instant, id: PlaceId, stage: u8) -> bool {
+        let place = &mut self.places[id];
+        place.points += STAGE_POINTS[usize::from(stage)];
+        let is_over = place.points >= SUSPECT_POINTS;
+        is_over && self.suspect_slow(now, id)
+    }
+
+    /// Takes in an answer that took `time` where the kind's mean is `mean`. Returns whether the
+    /// target has become a suspect.
+    pub(crate) fn answer(&mut self, now: Instant, id: PlaceId, time: Span, mean: Span) -> bool {
+        let place = &mut self.places[id];
+        place.last_answer = Some(now);
+        place.rest = Span::ZERO;
+        let ratio = time.as_micros().saturating_mul(256) / mean.as_micros().max(1);
+        let ratio = ratio.min(MAX_RATIO.into()) as u32;
+        place.ratio = (place.ratio * 7 + ratio) / 8;
+        place.answers = place.answers.saturating_add(1);
+        let is_over = place.ratio > SUSPECT_RATIO && place.answers >= RATIO_SAMPLES;
+        is_over && self.suspect_slow(now, id)
+    }
+
+    /// Takes in that the target refused an attempt before running it.
+    pub(crate) fn shed(&mut self, now: Instant, id: PlaceId) {
+        let place = &mut self.places[id];
+        place.rest = place.rest.times(2).max(FIRST_REST).min(LAST_REST);
+        place.rest_until = now + place.rest;
+    }
+
+    /// Makes a target a suspect after an error.
+    pub(crate) fn suspect_failed(&mut self, now: Instant, id: PlaceId) -> bool {
+        self.suspect(now, id)
+    }
+
+    /// Makes a slow target a suspect, unless less than half of the slots would remain: then the
+    /// learned slot times are more likely to be wrong than the targets.
+    fn suspect_slow(&mut self, now: Instant, id: PlaceId) -> bool {
+        let remaining = self.usable_slots.saturating_sub(self.places[id].spec.slots);
+        remaining > 0 && remaining * 2 >= self.ready_slots && self.suspect(now, id)
+    }
+
+    fn suspect(&mut self, now: Instant, id: PlaceId) -> bool {
+        let place = &mut self.places[id];
+        if place.suspicion.is_some() || !place.is_ready() {
+            return false;
+        }
+        place.suspicion = Some(Suspicion {
+            probe_at: now + FIRST_PROBE,
+            interval: FIRST_PROBE,
+            good_probes: 0,
+            is_probing: false,
+        });
+        self.recount();
+        true
+    }
+
+    /// Takes in how a probe ended.
+    pub(crate) fn end_probe(&mut self, now: Instant, id: PlaceId, is_good: bool) {
+        let place = &mut self.places[id];
+        let Some(suspicion) = &mut place.suspicion else { return };
+        suspicion.is_probing = false;
+        if !is_good {
+            suspicion.good_probes = 0;
+            suspicion.interval = suspicion.interval.times(2).min(LAST_PROBE);
+            suspicion.probe_at = now + suspicion.interval;
+            return;
+        }
+        suspicion.good_probes += 1;
+        suspicion.probe_at = now;
+        if suspicion.good_probes >= GOOD_PROBES {
+            self.clear(id);
+        }
+    }
+
+    /// Re-admits suspects that nothing can probe: each that is idle and has been due for a probe
+    /// for one more interval. Its next slow or failed attempt makes it a suspect again.
+    pub(crate) fn readmit_idle(&mut self, now: Instant) {
+        for index in 0..self.places.len() {
+            let id = PlaceId(index as u32);
+            let place = &self.places[id];
+            let is_due = |s: Suspicion| now >= s.probe_at + s.interval;
+            if place.in_flight == 0 && place.suspicion.is_some_and(is_due) {
+                self.clear(id);
+            }
+        }
+    }
+
+    fn clear(&mut self, id: PlaceId) {
+        let place = &mut self.places[id];
+        place.suspicion = None;
+        place.points = 0;
+        place.ratio = 256;
+        place.answers = 0;
+        self.recount();
+    }
+
+    /// The next time after `now` at which a waiting job may find a place that it has not now.
+    pub(crate) fn wake_at(&self, now: Instant) -> Option<Instant> {
+        let times = self.places.values().filter(|place| place.is_ready()).flat_map(|place| {
+            let probe_at = place.suspicion.map(|s| s.probe_at);
+            let readmit_at = place.suspicion.map(|s| s.probe_at + s.interval);
+            [Some(place.rest_until), probe_at, readmit_at]
+        });
+        times.flatten().filter(|&at| at > now).min()
+    }
+
+    /// Free slots that the pool's own answers confirm. A target without recent answers counts for
+    /// one slot while its load reports are fresh, so that a pool without work is not shut out.
+    pub(crate) fn confirmed_slots(&self, now: Instant) -> u32 {
+        let usable = self.places.values().filter(|place| place.is_usable());
+        let rested = usable.filter(|place| now >= place.rest_until);
+        let confirmed = rested.map(|place| {
+            let free = place.free_slots();
+            let is_recent = |at: Instant| now.since(at) <= CONFIRMED_FOR;
+            if place.last_answer.is_some_and(is_recent) {
+                return free;
+            }
+            let is_fresh = |(at, _): (Instant, Load)| now.since(at) <= LOAD_LIFETIME;
+            free.min(u32::from(place.load.is_some_and(is_fresh)))
+        });
+        confirmed.sum()
+    }
+
+    fn recount(&mut self) {
+        let ready = self.places.values().filter(|place| place.is_ready());
+        self.ready_slots = ready.clone().map(|place| place.spec.slots).sum();
+        self.suspects = ready.filter(|place| place.suspicion.is_some()).count() as u32;
+        let usable = self.places.values().filter(|place| place.is_usable());
+        self.usable_slots = usable.clone().map(|place| place.spec.slots).sum();
+        self.free_slots = usable.map(Place::free_slots).sum();
+    }
+}
+
+/// The bit of a place in a set of places. Places beyond 64 share bits, which only makes a set
+/// larger than needed.
+pub(crate) fn place_bit(id: PlaceId) -> u64 {
+    1 << (id.0 % 64)
+}
+
+fn is_in(set: u64, id: PlaceId) -> bool {
+    set & place_bit(id) != 0
+}
--- /dev/null
+++ b/crates/core/src/cost.rs
@@ -0,0 +1,208 @@
+//! Learned slot time of each kind.
+//!
+//! The slot time of an attempt runs from its dispatch to its report. A histogram with buckets of
+//! 1/16 of a power of two holds the recent ones; old ones lose half their weight at a time.
+
+use rustc_hash::FxHashMap;
+
+use crate::id::{Arena, KindId, key};
+use crate::time::Span;
+
+key! {
+    /// A kind that the pool has seen.
+    CostId(u32)
+}
+
+/// Buckets in one power of two.
+const PER_OCTAVE: usize = 16;
+const SUB_BITS: u32 = (2 * PER_OCTAVE).trailing_zeros();
+/// Slot times from 2^37 us (38 hours) share the last bucket.
+const MAX_BITS: u32 = 37;
+const BUCKETS: usize = (MAX_BITS - SUB_BITS + 2) as usize * PER_OCTAVE;
+
+/// Samples after which the weights are halved, so that the last few thousand count.
+const WINDOW: u32 = 4096;
+/// Samples between two computations of the quantiles, which read the whole histogram.
+const REFRESH: u32 = 32;
+/// Samples that make a kind known.
+const KNOWN_SAMPLES: u32 = 4;
+/// Samples from which the quantiles are trusted as they are.
+const QUANTILE_SAMPLES: u32 = 128;
+
+/// How many times the pool's shortest kind a long kind costs.
+const LONG_RATIO: u64 = 8;
+/// How many times the shortest kind a long kind costs at least to stay long. The difference keeps
+/// a kind near the limit from changing sides on each sample.
+const STILL_LONG_RATIO: u64 = 6;
+
+/// What is known of one kind.
+#[derive(Debug)]
+pub(crate) struct Cost {
+    buckets: Box<[u32; BUCKETS]>,
+    count: u32,
+    sum_us: u64,
+    since_refresh: u32,
+    mean: Span,
+    p50: Span,
+    p90: Span,
+    p99: Span,
+    is_long: bool,
+}
+
+impl Cost {
+    fn new(guess: Span) -> Cost {
+        Cost {
+            buckets: Box::new([0; BUCKETS]),
+            count: 0,
+            sum_us: 0,
+            since_refresh: 0,
+            mean: guess,
+            p50: Span::ZERO,
+            p90: Span::MAX,
+            p99: Span::MAX,
+            is_long: true,
+        }
+    }
+
+    /// Whether enough attempts were seen to speak of the kind at all.
+    pub(crate) fn is_known(&self) -> bool {
+        self.count >= KNOWN_SAMPLES
+    }
+
+    /// Whether the kind counts against the limit on long kinds. An unknown kind does.
+    pub(crate) fn is_long(&self) -> bool {
+        self.is_long
+    }
+
+    /// The expected slot time; a guess while the kind is unknown.
+    pub(crate) fn mean(&self) -> Span {
+        self.mean
+    }
+
+    /// The median, zero while the kind is unknown.
+    pub(crate) fn median(&self) -> Span {
+        self.p50
+    }
+
+    /// A slot time that few healthy attempts exceed.
+    pub(crate) fn p90(&self) -> Span {
+        self.p90
+    }
+
+    /// A slot time that very few healthy attempts exceed.
+    pub(crate) fn p99(&self) -> Span {
+        self.p99
+    }
+
+    fn learn(&mut self, time: Span) {
+        let us = time.as_micros().min((1 << MAX_BITS) - 1);
+        self.buckets[bucket_of(us)] += 1;
+        self.count += 1;
+        self.sum_us += us;
+        self.since_refresh += 1;
+    }
+
+    fn refresh(&mut self) {
+        self.since_refresh = 0;
+        self.mean = Span::from_micros(self.sum_us / u64::from(self.count.max(1)));
+        self.p50 = self.quantile(500);
+        self.p90 = self.quantile(900);
+        self.p99 = self.quantile(990);
+        if self.count < QUANTILE_SAMPLES {
+            // The largest of a few samples says little about the tail.
+            self.p90 = self.p90.max(self.p50.times(3));
+            self.p99 = self.p99.max(self.p50.times(6));
+        }
+        if self.count >= WINDOW {
+            self.age();
+        }
+    }
+
+    fn age(&mut self) {
+        self.count = 0;
+        for bucket in self.buckets.iter_mut() {
+            *bucket /= 2;
+            self.count += *bucket;
+        }
+        self.sum_us = self.mean.as_micros() * u64::from(self.count);
+    }
+
+    /// The upper end of the bucket that holds the quantile.
+    fn quantile(&self, per_mille: u32) -> Span {
+        let rank = (u64::from(self.count) * u64::from(per_mille)).div_ceil(1000);
+        let mut below = 0;
+        let found = self.buckets.iter().position(|&bucket| {
+            below += u64::from(bucket);
+            below >= rank
+        });
+        Span::from_micros(bucket_end(found.unwrap_or(BUCKETS - 1)))
+    }
+}
+
+/// The bucket of a value below 2^`MAX_BITS`. Values below two octaves have a bucket each.
+fn bucket_of(us: u64) -> usize {
+    let shift = (us | (2 * PER_OCTAVE as u64 - 1)).ilog2() + 1 - SUB_BITS;
+    shift as usize * PER_OCTAVE + (us >> shift) as usize
+}
+
+/// The largest value of a bucket.
+fn bucket_end(bucket: usize) -> u64 {
+    if bucket < 2 * PER_OCTAVE {
+        return bucket as u64;
+    }
+    let shift = bucket / PER_OCTAVE - 1;
+    let sub = (bucket % PER_OCTAVE + PER_OCTAVE) as u64;
+    ((sub + 1) << shift) - 1
+}
+
+/// What is known of all kinds of a pool.
+#[derive(Debug, Default)]
+pub(crate) struct Costs {
+    costs: Arena<CostId, Cost>,
+    by_kind: FxHashMap<KindId, CostId>,
+    shortest: Span,
+}
+
+impl Costs {
+    /// The key of `kind`. A kind that is new is thought to cost `guess`.
+    pub(crate) fn enter(&mut self, kind: KindId, guess: Span) -> CostId {
+        if let Some(&id) = self.by_kind.get(&kind) {
+            return id;
+        }
+        let id = self.costs.push(Cost::new(guess));
+        self.by_kind.insert(kind, id);
+        id
+    }
+
+    /// Takes in the slot time of an attempt on a healthy target.
+    pub(crate) fn learn(&mut self, id: CostId, time: Span) {
+        let cost = &mut self.costs[id];
+        cost.learn(time);
+        let is_young = cost.count < QUANTILE_SAMPLES && cost.is_known();
+        if is_young || cost.since_refresh >= REFRESH {
+            cost.refresh();
+            self.classify();
+        }
+    }
+
+    fn classify(&mut self) {
+        let known = self.costs.values().filter(|cost| cost.is_known());
+        self.shortest = known.map(|cost| cost.mean).min().unwrap_or(Span::ZERO);
+        for cost in self.costs.values_mut() {
+            let ratio = if cost.is_long && cost.count >= QUANTILE_SAMPLES {
+                STILL_LONG_RATIO
+            } else {
+                LONG_RATIO
+            };
+            cost.is_long = !cost.is_known() || cost.mean >= self.shortest.times(ratio);
+        }
+    }
+}
+
+impl std::ops::Index<CostId> for Costs {
+    type Output = Cost;
+
+    fn index(&self, id: CostId) -> &Cost {
+        &self.costs[id]
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch.rs
@@ -0,0 +1,179 @@
+//! Dispatches, probes and hedges.
+
+use crate::choice::{PlaceId, place_bit};
+use crate::id::TargetId;
+use crate::job::{Flight, JobId, Phase, Record};
+use crate::outcome::Reason;
+use crate::pool::{Action, Attempt, Pool, Ticket};
+use crate::queue::LaneId;
+use crate::time::{Instant, Span};
+
+/// Without an offer of idempotent work for this long, suspects are re-admitted without a probe.
+const PROBE_PATIENCE: Span = Span::from_secs(1);
+
+impl Pool {
+    /// Re-admits suspects when no idempotent work is there to probe them.
+    pub(crate) fn readmit(&mut self, now: Instant) {
+        if self.places.has_suspect() && now.since(self.idempotent_at) > PROBE_PATIENCE {
+            self.places.readmit_idle(now);
+        }
+    }
+
+    /// Sends the waiting job whose turn it is, if a target has a slot for it.
+    pub(crate) fn next_dispatch(&mut self, now: Instant) -> Option<Action> {
+        if self.queue.len() == 0 || !self.places.has_free_slot() {
+            return None;
+        }
+        let (lane, place) = self.next_turn(now)?;
+        let id = self.queue[lane].head();
+        if self.is_too_late(now, id) {
+            self.queue.remove(id);
+            self.close_unanswered(id, Reason::DeadlinePassed);
+            return self.outbox.pop_front();
+        }
+        Some(self.dispatch(now, lane, place, false))
+    }
+
+    /// The waiting lane with the smallest tag whose first job has a place, and that place.
+    fn next_turn(&self, now: Instant) -> Option<(LaneId, PlaceId)> {
+        // Most jobs were tried nowhere yet; for these the choice depends on the length only.
+        let short = self.places.choose(now, false, 0);
+        let long = self.places.choose(now, true, 0);
+        let mut best: Option<(u64, LaneId, PlaceId)> = None;
+        for &lane in self.queue.waiting() {
+            let tag = self.queue.tag(lane);
+            if best.is_some_and(|(best, ..)| best <= tag) {
+                continue;
+            }
+            let is_long = self.costs[self.queue[lane].cost()].is_long();
+            let place = match self.jobs[self.queue[lane].head()].tried {
+                0 if is_long => long,
+                0 => short,
+                tried => self.places.choose(now, is_long, tried),
+            };
+            if let Some(place) = place {
+                best = Some((tag, lane, place));
+            }
+        }
+        best.map(|(_, lane, place)| (lane, place))
+    }
+
+    /// Whether the answer would more likely come after the deadline than before it.
+    fn is_too_late(&self, now: Instant, id: JobId) -> bool {
+        let record = &self.jobs[id];
+        now + self.costs[record.cost].median() > record.job.deadline
+    }
+
+    /// Sends the first idempotent job of a short kind to a suspect that is due for a probe. The
+    /// hedge budget must have room, since the probe is hedged if the target is still slow.
+    pub(crate) fn next_probe(&mut self, now: Instant) -> Option<Action> {
+        if !self.places.has_suspect() || self.queue.len() == 0 {
+            return None;
+        }
+        let is_last_resort = self.places.usable_slots() == 0;
+        if !is_last_resort && !self.hedge_budget.has_room() {
+            return None;
+        }
+        let place = self.places.choose_probe(now)?;
+        let lanes = self.queue.waiting().iter().copied();
+        let fit = lanes.filter(|&lane| is_last_resort || self.can_probe(now, lane));
+        let fit = fit.filter(|&lane| self.jobs[self.queue[lane].head()].job.idempotent);
+        let lane = fit.min_by_key(|&lane| self.queue.tag(lane))?;
+        Some(self.dispatch(now, lane, place, true))
+    }
+
+    /// Whether the first job of `lane` is short, and its deadline leaves time for a hedge.
+    fn can_probe(&self, now: Instant, lane: LaneId) -> bool {
+        let cost = &self.costs[self.queue[lane].cost()];
+        let left = self.jobs[self.queue[lane].head()].job.deadline.since(now);
+        !cost.is_long() && cost.p90() + cost.p99() < left
+    }
+
+    fn dispatch(&mut self, now: Instant, lane: LaneId, place: PlaceId, is_probe: bool) -> Action {
+        let charge = self.costs[self.queue[lane].cost()].mean();
+        let id = self.queue.pop(lane, charge);
+        self.demand.add(now, lane, charge);
+        self.hedge_budget.earn();
+        self.retry_budget.earn();
+        let (ticket, attempt, target) = self.launch(now, id, place, charge, is_probe);
+        Action::Dispatch { ticket, attempt, target }
+    }
+
+    /// Sends a second attempt for the job that has waited longest for one.
+    pub(crate) fn next_hedge(&mut self, now: Instant) -> Option<Action> {
+        while let Some(&ticket) = self.hedges.front() {
+            let Some((id, flight)) = self.hedge_wish(ticket) else {
+                self.hedges.pop_front();
+                continue;
+            };
+            let is_suspect = self.places.is_suspect(flight.place);
+            // While jobs wait, a second attempt of a merely unlucky one would cost another its turn.
+            if !self.hedge_budget.has_room() || (self.queue.len() > 0 && !is_suspect) {
+                return None;
+            }
+            let place = self.places.choose(now, flight.is_long, place_bit(flight.place))?;
+            self.hedges.pop_front();
+            self.jobs[id].wants_hedge = false;
+            if place == flight.place || self.is_too_late(now, id) {
+                continue;
+            }
+            self.hedge_budget.take();
+            let (ticket, attempt, target) = self.launch(now, id, place, Span::ZERO, false);
+            return Some(Action::Hedge { ticket, attempt, target });
+        }
+        None
+    }
+
+    /// The job of a ticket in the list of hedges and its only attempt in flight, unless the job
+    /// no longer needs a hedge.
+    fn hedge_wish(&self, ticket: Ticket) -> Option<(JobId, Flight)> {
+        let id = self.jobs.find(ticket)?;
+        let record = &self.jobs[id];
+        let is_wish = record.phase == Phase::Running && record.wants_hedge;
+        let mut flights = record.flights();
+        let flight = *flights.next()?;
+        (is_wish && flights.next().is_none()).then_some((id, flight))
+    }
+
+    /// Puts a job on the list of hedges, if it may have a second attempt and has none.
+    pub(crate) fn want_hedge(&mut self, id: JobId) {
+        let limit = self.config.attempt_limit;
+        let record = &mut self.jobs[id];
+        let may_hedge = record.phase == Phase::Running
+            && record.job.idempotent
+            && !record.wants_hedge
+            && record.flights().count() == 1
+            && record.attempts < limit;
+        if may_hedge {
+            record.wants_hedge = true;
+            self.hedges.push_back(self.jobs.ticket(id));
+        }
+    }
+
+    fn launch(
+        &mut self,
+        now: Instant,
+        id: JobId,
+        place: PlaceId,
+        charged: Span,
+        is_probe: bool,
+    ) -> (Ticket, Attempt, TargetId) {
+        let record: &mut Record = &mut self.jobs[id];
+        let is_long = self.costs[record.cost].is_long();
+        let attempt = Attempt(record.attempts);
+        record.phase = Phase::Running;
+        record.add_flight(Flight {
+            attempt,
+            place,
+            started: now,
+            charged,
+            stage: 0,
+            is_long,
+            is_probe,
+            is_cancelled: false,
+        });
+        self.places.start(place, is_long, is_probe);
+        self.arm(id);
+        (self.jobs.ticket(id), attempt, self.places.target(place))
+    }
+}
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -3,8 +3,6 @@
 use std::marker::PhantomData;
 use std::ops::{Index, IndexMut};
 
-use serde::{Deserialize, Serialize};
-
 /// A key that is a position in an [`Arena`].
 pub trait Key: Copy {
     /// The key of position `index`.
@@ -16,10 +14,11 @@
 macro_rules! key {
     ($(#[$doc:meta])* $name:ident($repr:ty)) => {
         $(#[$doc])*
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(serde::Serialize, serde::Deserialize)]
         pub struct $name(pub $repr);
 
-        impl Key for $name {
+        impl $crate::id::Key for $name {
             fn from_index(index: usize) -> $name {
                 debug_assert!(index <= <$repr>::MAX as usize);
                 $name(index as $repr)
@@ -32,6 +31,8 @@
     };
 }
 
+pub(crate) use key;
+
 key! {
     /// A member, in the order of the policy document.
     MemberId(u16)
@@ -92,6 +93,11 @@
         self.items.iter()
     }
 
+    /// Values in order, to be changed.
+    pub fn values_mut(&mut self) -> std::slice::IterMut<'_, V> {
+        self.items.iter_mut()
+    }
+
     /// The key of the first value that `matches`.
     pub fn find(&self, matches: impl FnMut(&V) -> bool) -> Option<K> {
         self.items.iter().position(matches).map(K::from_index)
--- /dev/null
+++ b/crates/core/src/job.rs
@@ -0,0 +1,162 @@
+//! The jobs that a pool holds, in an arena with a free list.
+
+use crate::choice::PlaceId;
+use crate::cost::CostId;
+use crate::id::{Arena, Key, key};
+use crate::pool::{Attempt, Job, Ticket};
+use crate::queue::LaneId;
+use crate::time::{Instant, Span};
+
+key! {
+    /// A position in the table of jobs.
+    JobId(u32)
+}
+
+/// Where a job is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// The position holds no job.
+    Free,
+    /// It waits for a slot.
+    Queued,
+    /// At least one attempt is in flight.
+    Running,
+    /// The ticket is closed, and the report of an attempt is still to come.
+    Closed,
+}
+
+/// An attempt that was sent and not reported yet.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Flight {
+    pub(crate) attempt: Attempt,
+    pub(crate) place: PlaceId,
+    pub(crate) started: Instant,
+    /// Slot time that the flow has been charged for it.
+    pub(crate) charged: Span,
+    /// Number of checkpoints that it has passed.
+    pub(crate) stage: u8,
+    /// Whether it counts against the limit on long kinds.
+    pub(crate) is_long: bool,
+    /// Whether it probes a suspect.
+    pub(crate) is_probe: bool,
+    /// Whether the pool no longer wants its reply.
+    pub(crate) is_cancelled: bool,
+}
+
+/// A job and its attempts.
+#[derive(Debug)]
+pub(crate) struct Record {
+    pub(crate) job: Job,
+    pub(crate) lane: LaneId,
+    pub(crate) cost: CostId,
+    pub(crate) phase: Phase,
+    /// Attempts so far.
+    pub(crate) attempts: u8,
+    /// The first attempt and its hedge: no job has more than two attempts in flight.
+    pub(crate) flights: [Option<Flight>; 2],
+    /// Bits of the places that shed the job or could not be reached.
+    pub(crate) tried: u64,
+    /// Whether an attempt was lost, so that "not run" would be wrong.
+    pub(crate) may_have_run: bool,
+    /// Whether the job is in the list of jobs that wait for a hedge.
+    pub(crate) wants_hedge: bool,
+    generation: u32,
+}
+
+impl Record {
+    /// The attempts in flight.
+    pub(crate) fn flights(&self) -> impl Iterator<Item = &Flight> {
+        self.flights.iter().flatten()
+    }
+
+    /// Whether an attempt is in flight.
+    pub(crate) fn is_flying(&self) -> bool {
+        self.flights.iter().any(Option::is_some)
+    }
+
+    /// Adds an attempt. The job has at most one in flight.
+    pub(crate) fn add_flight(&mut self, flight: Flight) {
+        let free = self.flights.iter_mut().find(|flight| flight.is_none());
+        debug_assert!(free.is_some());
+        if let Some(free) = free {
+            *free = Some(flight);
+        }
+        self.attempts += 1;
+    }
+
+    /// Removes the attempt with number `attempt`, if it is in flight.
+    pub(crate) fn take_flight(&mut self, attempt: Attempt) -> Option<Flight> {
+        let is_it = |flight: &Option<Flight>| flight.is_some_and(|f| f.attempt == attempt);
+        self.flights.iter_mut().find(|flight| is_it(flight))?.take()
+    }
+}
+
+/// The table of jobs.
+#[derive(Debug, Default)]
+pub(crate) struct Jobs {
+    records: Arena<JobId, Record>,
+    free: Vec<JobId>,
+}
+
+impl Jobs {
+    /// Adds a job that waits.
+    pub(crate) fn open(&mut self, job: Job, lane: LaneId, cost: CostId) -> JobId {
+        let record = Record {
+            job,
+            lane,
+            cost,
+            phase: Phase::Queued,
+            attempts: 0,
+            flights: [None; 2],
+            tried: 0,
+            may_have_run: false,
+            wants_hedge: false,
+            generation: 0,
+        };
+        let Some(id) = self.free.pop() else { return self.records.push(record) };
+        let generation = self.records[id].generation;
+        self.records[id] = Record { generation, ..record };
+        id
+    }
+
+    /// Frees the position. The ticket that named it is void from now on.
+    pub(crate) fn release(&mut self, id: JobId) {
+        let record = &mut self.records[id];
+        debug_assert!(record.phase != Phase::Free && !record.is_flying());
+        record.phase = Phase::Free;
+        record.generation = record.generation.wrapping_add(1);
+        self.free.push(id);
+    }
+
+    /// The ticket of a job.
+    pub(crate) fn ticket(&self, id: JobId) -> Ticket {
+        Ticket { index: id.0, generation: self.records[id].generation }
+    }
+
+    /// The job of a ticket, unless the ticket is void.
+    pub(crate) fn find(&self, ticket: Ticket) -> Option<JobId> {
+        let id = JobId(ticket.index);
+        let record = self.records.get(id)?;
+        let is_held = record.phase != Phase::Free && record.generation == ticket.generation;
+        is_held.then_some(id)
+    }
+
+    /// All positions.
+    pub(crate) fn ids(&self) -> impl Iterator<Item = JobId> + use<> {
+        (0..self.records.len()).map(JobId::from_index)
+    }
+}
+
+impl std::ops::Index<JobId> for Jobs {
+    type Output = Record;
+
+    fn index(&self, id: JobId) -> &Record {
+        &self.records[id]
+    }
+}
+
+impl std::ops::IndexMut<JobId> for Jobs {
+    fn index_mut(&mut self, id: JobId) -> &mut Record {
+        &mut self.records[id]
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,26 +3,33 @@
 //! This crate has no input, output, clock or thread. Time is an argument, so each decision can be
 //! replayed. The programs put sockets, files and timers round it.
 
+mod admit;
 pub mod block;
 pub mod budget;
 mod check;
-pub mod choice;
+mod choice;
+mod cost;
+mod demand;
+mod dispatch;
 pub mod evidence;
 pub mod fault;
 pub mod id;
+mod job;
 pub mod key;
 pub mod lease;
 pub mod outcome;
 pub mod pacer;
 pub mod policy;
 pub mod pool;
-pub mod queue;
+mod queue;
 pub mod roster;
 pub mod scan;
 pub mod seat;
+mod settle;
 pub mod share;
 pub mod shift;
 pub mod text;
 pub mod time;
+mod timer;
 pub mod topology;
 pub mod version;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -14,9 +14,16 @@
 
 use std::collections::VecDeque;
 
+use crate::budget::Budget;
+use crate::choice::Places;
+use crate::cost::Costs;
+use crate::demand::Demand;
 use crate::id::{KindId, MemberId, TargetId};
+use crate::job::{Jobs, Phase};
 use crate::outcome::Reason;
-use crate::time::Instant;
+use crate::queue::Queue;
+use crate::time::{Instant, Span};
+use crate::timer::Timers;
 
 /// A stream of like work that gets its own turn: one kind of one member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -125,52 +132,45 @@
 pub struct Config {
     /// The most jobs that wait at once.
     pub queue_limit: usize,
-    /// The most attempts of one job.
+    /// The most attempts of one job, hedges included.
     pub attempt_limit: u8,
+    /// Hedges, in percent of dispatches.
+    pub hedge_percent: u32,
+    /// Second dispatches of lost idempotent jobs, in percent of dispatches.
+    pub retry_percent: u32,
 }
 
 impl Default for Config {
     fn default() -> Config {
-        Config { queue_limit: 4096, attempt_limit: 4 }
+        Config { queue_limit: 4096, attempt_limit: 4, hedge_percent: 5, retry_percent: 10 }
     }
 }
 
-/// The queue and the targets of one pool.
-#[derive(Debug)]
-pub struct Pool {
-    config: Config,
-    records: Vec<Record>,
-    free: Vec<u32>,
-    queues: Vec<(Flow, VecDeque<u32>)>,
-    turn: usize,
-    queued: usize,
-    targets: Vec<Slots>,
-    outbox: VecDeque<Action>,
-}
-
-#[derive(Debug)]
-struct Record {
-    job: Job,
-    generation: u32,
-    phase: Phase,
-    attempts: u8,
-    shed_by: Option<TargetId>,
-}
+/// The part of its deadline that an unknown kind is thought to cost.
+const GUESS_DIVISOR: u64 = 10;
 
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Phase {
-    Free,
-    Queued,
-    Running(TargetId),
-    /// Closed, but the target has not answered yet.
-    Closed(TargetId),
-}
+/// Retries of lost jobs that are allowed at once, so that a target that dies while there is little
+/// traffic fails no idempotent job.
+const RETRY_BURST: u32 = 10;
 
+/// The queue and the targets of one pool.
 #[derive(Debug)]
-struct Slots {
-    target: TargetId,
-    spec: Spec,
-    in_flight: u32,
+pub struct Pool {
+    pub(crate) config: Config,
+    pub(crate) now: Instant,
+    pub(crate) jobs: Jobs,
+    pub(crate) costs: Costs,
+    pub(crate) queue: Queue,
+    pub(crate) demand: Demand,
+    pub(crate) places: Places,
+    pub(crate) timers: Timers,
+    pub(crate) hedge_budget: Budget,
+    pub(crate) retry_budget: Budget,
+    /// Jobs that wait for a second attempt. Tickets of jobs that no longer do are skipped.
+    pub(crate) hedges: VecDeque<Ticket>,
+    pub(crate) outbox: VecDeque<Action>,
+    /// The last offer of an idempotent job, which could probe a suspect.
+    pub(crate) idempotent_at: Instant,
 }
 
 impl Pool {
@@ -178,228 +178,111 @@
     pub fn new(config: Config) -> Pool {
         Pool {
             config,
-            records: Vec::new(),
-            free: Vec::new(),
-            queues: Vec::new(),
-            turn: 0,
-            queued: 0,
-            targets: Vec::new(),
+            now: Instant::ZERO,
+            jobs: Jobs::default(),
+            costs: Costs::default(),
+            queue: Queue::default(),
+            demand: Demand::default(),
+            places: Places::default(),
+            timers: Timers::default(),
+            hedge_budget: Budget::new(config.hedge_percent, 1),
+            retry_budget: Budget::new(config.retry_percent, RETRY_BURST).with_full(),
+            hedges: VecDeque::new(),
             outbox: VecDeque::new(),
+            idempotent_at: Instant::ZERO,
         }
     }
 
     /// Takes a job into the queue. An error means that it is not run.
     pub fn offer(&mut self, now: Instant, job: Job) -> Result<Ticket, Reason> {
+        self.now = now;
         if now >= job.deadline {
             return Err(Reason::DeadlineTooClose);
         }
-        if !self.targets.iter().any(|slots| slots.spec.state == State::Ready) {
+        if self.places.ready_slots() == 0 {
             return Err(Reason::NoTarget);
         }
-        if self.queued >= self.config.queue_limit {
-            return Err(Reason::QueueFull);
-        }
-        let index = self.free.pop().unwrap_or(self.records.len() as u32);
-        if index as usize == self.records.len() {
-            let record =
-                Record { job, generation: 0, phase: Phase::Queued, attempts: 0, shed_by: None };
-            self.records.push(record);
+        let guess = Span::from_micros(job.deadline.since(now).as_micros() / GUESS_DIVISOR);
+        let cost = self.costs.enter(job.flow.kind, guess);
+        let lane = self.queue.enter(job.flow, cost);
+        self.demand.enter(lane);
+        if job.idempotent {
+            self.idempotent_at = now;
         }
-        let record = &mut self.records[index as usize];
-        record.job = job;
-        record.phase = Phase::Queued;
-        record.attempts = 0;
-        record.shed_by = None;
-        let ticket = Ticket { index, generation: record.generation };
-        self.queue(job.flow).push_back(index);
-        self.queued += 1;
-        Ok(ticket)
+        self.admit(now, &job, lane, cost)?;
+        let id = self.jobs.open(job, lane, cost);
+        self.queue.push_back(lane, id);
+        self.arm(id);
+        Ok(self.jobs.ticket(id))
     }
 
     /// The next thing to do, if any.
     pub fn next_action(&mut self, now: Instant) -> Option<Action> {
-        self.expire(now);
+        self.now = now;
+        self.fire_due(now);
         if let Some(action) = self.outbox.pop_front() {
             return Some(action);
         }
-        for step in 0..self.queues.len() {
-            let flow = (self.turn + step) % self.queues.len();
-            let Some(&index) = self.queues[flow].1.front() else { continue };
-            let shed_by = self.records[index as usize].shed_by;
-            let Some(place) = self.place(shed_by) else { continue };
-            self.queues[flow].1.pop_front();
-            self.queued -= 1;
-            self.turn = flow + 1;
-            self.targets[place].in_flight += 1;
-            let target = self.targets[place].target;
-            let record = &mut self.records[index as usize];
-            record.phase = Phase::Running(target);
-            let attempt = Attempt(record.attempts);
-            record.attempts += 1;
-            let ticket = Ticket { index, generation: record.generation };
-            return Some(Action::Dispatch { ticket, attempt, target });
-        }
-        None
+        self.readmit(now);
+        let hedge = self.next_hedge(now);
+        let probe = hedge.or_else(|| self.next_probe(now));
+        probe.or_else(|| self.next_dispatch(now))
     }
 
-    /// Takes in what became of an attempt.
-    pub fn report(
-        &mut self,
-        _now: Instant,
-        ticket: Ticket,
-        attempt: Attempt,
-        report: Report,
-    ) -> Verdict {
-        let Some(record) = self.records.get_mut(ticket.index as usize) else {
-            return Verdict::Ignored;
-        };
-        if record.generation != ticket.generation || attempt.0 + 1 != record.attempts {
-            return Verdict::Ignored;
-        }
-        let (target, is_closed) = match record.phase {
-            Phase::Running(target) => (target, false),
-            Phase::Closed(target) => (target, true),
-            Phase::Free | Phase::Queued => return Verdict::Ignored,
-        };
-        let may_retry = record.attempts < self.config.attempt_limit;
-        let (job, index) = (record.job, ticket.index);
-        if let Some(slots) = self.targets.iter_mut().find(|slots| slots.target == target) {
-            slots.in_flight -= 1;
-        }
-        if is_closed {
-            self.release(index);
-            return Verdict::Ignored;
-        }
-        match report {
-            Report::Answered => {
-                self.release(index);
-                return Verdict::Settled;
-            }
-            Report::Lost if !job.idempotent => {
-                self.outbox.push_back(Action::Fail { ticket, reason: Reason::TargetLost });
-                self.release(index);
+    /// Closes the ticket: its caller went away. The attempts in flight must still be reported.
+    pub fn abandon(&mut self, now: Instant, ticket: Ticket) {
+        self.now = now;
+        let is_close = |action: &Action| match *action {
+            Action::Refuse { ticket: closed, .. } | Action::Fail { ticket: closed, .. } => {
+                closed == ticket
             }
-            Report::Lost if !may_retry => {
-                self.outbox.push_back(Action::Fail { ticket, reason: Reason::TargetLost });
-                self.release(index);
-            }
-            _ if !may_retry => {
-                self.outbox.push_back(Action::Refuse { ticket, reason: Reason::Shed });
-                self.release(index);
-            }
-            _ => {
-                let record = &mut self.records[index as usize];
-                record.phase = Phase::Queued;
-                record.shed_by = Some(target);
-                self.queue(job.flow).push_front(index);
-                self.queued += 1;
-            }
-        }
-        Verdict::Pending
-    }
-
-    /// Closes the ticket: its caller went away.
-    pub fn abandon(&mut self, _now: Instant, ticket: Ticket) {
-        let Some(record) = self.records.get_mut(ticket.index as usize) else { return };
-        if record.generation != ticket.generation {
-            return;
-        }
-        match record.phase {
+            _ => false,
+        };
+        self.outbox.retain(|action| !is_close(action));
+        let Some(id) = self.jobs.find(ticket) else { return };
+        match self.jobs[id].phase {
             Phase::Queued => {
-                let flow = record.job.flow;
-                self.queue(flow).retain(|&index| index != ticket.index);
-                self.queued -= 1;
-                self.release(ticket.index);
-            }
-            Phase::Running(target) => {
-                record.phase = Phase::Closed(target);
-                if record.job.idempotent {
-                    let attempt = Attempt(record.attempts - 1);
-                    self.outbox.push_back(Action::Cancel { ticket, attempt, target });
-                }
+                self.queue.remove(id);
+                self.close(id);
             }
-            Phase::Free | Phase::Closed(_) => {}
+            Phase::Running => self.close(id),
+            Phase::Free | Phase::Closed => {}
         }
     }
 
-    /// The next time at which [`Pool::next_action`] may have something to say.
+    /// The next time at which [`Pool::next_action`] may have something to say without another
+    /// call before. It is later than the time of the last call.
     pub fn wake_at(&self) -> Option<Instant> {
-        let open = self.records.iter();
-        let open = open.filter(|record| matches!(record.phase, Phase::Queued | Phase::Running(_)));
-        open.map(|record| record.job.deadline).min()
+        let timer = self.timers.first().map(|(at, _)| at);
+        let has_backlog = self.queue.len() > 0;
+        let place = has_backlog.then(|| self.places.wake_at(self.now)).flatten();
+        timer.into_iter().chain(place).min()
     }
 
     /// Adds or changes a target.
-    pub fn set_target(&mut self, _now: Instant, target: TargetId, spec: Spec) {
-        match self.targets.iter_mut().find(|slots| slots.target == target) {
-            Some(slots) => slots.spec = spec,
-            None => self.targets.push(Slots { target, spec, in_flight: 0 }),
+    pub fn set_target(&mut self, now: Instant, target: TargetId, spec: Spec) {
+        self.now = now;
+        self.places.set(target, spec);
+        // When a target begins to straggle, each of its attempts in flight may need a hedge.
+        self.hedge_budget.set_burst(self.places.ready_slots().max(1));
+        if self.places.ready_slots() == 0 {
+            self.refuse_all();
         }
     }
 
     /// Takes in a target's own load report, which is used as a hint only.
-    pub fn note_load(&mut self, _now: Instant, _target: TargetId, _load: Load) {}
-
-    /// Free slots of targets that may take work.
-    pub fn free_slots(&self, _now: Instant) -> u32 {
-        let ready = self.targets.iter().filter(|slots| slots.spec.state == State::Ready);
-        ready.map(|slots| slots.spec.slots.saturating_sub(slots.in_flight)).sum()
+    pub fn note_load(&mut self, now: Instant, target: TargetId, load: Load) {
+        self.now = now;
+        self.places.note_load(now, target, load);
     }
 
-    fn queue(&mut self, flow: Flow) -> &mut VecDeque<u32> {
-        let found = self.queues.iter().position(|queue| queue.0 == flow);
-        let index = found.unwrap_or(self.queues.len());
-        if found.is_none() {
-            self.queues.push((flow, VecDeque::new()));
-        }
-        &mut self.queues[index].1
+    /// Free slots that the pool's own evidence confirms, less the jobs that wait for them.
+    pub fn free_slots(&self, now: Instant) -> u32 {
+        self.places.confirmed_slots(now).saturating_sub(self.queue.len() as u32)
     }
 
-    /// The target with a free slot that has the fewest requests in flight.
-    fn place(&self, shed_by: Option<TargetId>) -> Option<usize> {
-        let is_only = self.targets.iter().filter(|s| s.spec.state == State::Ready).count() == 1;
-        let usable = self.targets.iter().enumerate().filter(|(_, slots)| {
-            slots.spec.state == State::Ready
-                && slots.in_flight < slots.spec.slots
-                && (is_only || shed_by != Some(slots.target))
-        });
-        usable.min_by_key(|(_, slots)| slots.in_flight).map(|(place, _)| place)
-    }
-
-    fn release(&mut self, index: u32) {
-        let record = &mut self.records[index as usize];
-        record.phase = Phase::Free;
-        record.generation = record.generation.wrapping_add(1);
-        self.free.push(index);
-    }
-
-    fn expire(&mut self, now: Instant) {
-        for index in 0..self.records.len() as u32 {
-            let record = &mut self.records[index as usize];
-            if now < record.job.deadline {
-                continue;
-            }
-            let ticket = Ticket { index, generation: record.generation };
-            match record.phase {
-                Phase::Queued => {
-                    let flow = record.job.flow;
-                    self.queue(flow).retain(|&other| other != index);
-                    self.queued -= 1;
-                    self.release(index);
-                    let reason = Reason::DeadlinePassed;
-                    self.outbox.push_back(Action::Refuse { ticket, reason });
-                }
-                Phase::Running(target) => {
-                    record.phase = Phase::Closed(target);
-                    let reason = Reason::DeadlinePassedRunning;
-                    self.outbox.push_back(Action::Fail { ticket, reason });
-                    if record.job.idempotent {
-                        let attempt = Attempt(record.attempts - 1);
-                        self.outbox.push_back(Action::Cancel { ticket, attempt, target });
-                    }
-                }
-                Phase::Free | Phase::Closed(_) => {}
-            }
-        }
+    /// The number of jobs that wait for a slot.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
     }
 }
--- /dev/null
+++ b/crates/core/tests/random_calls.rs
@@ -0,0 +1,213 @@
+//! Random sequences of calls keep the pool's promises.
+
+mod common;
+
+use std::collections::HashMap;
+
+use common::{at, flow};
+use ebonypass_core::id::TargetId;
+use ebonypass_core::outcome::Outcome;
+use ebonypass_core::pool::{
+    Action, Attempt, Config, Job, Load, Pool, Report, Spec, State, Ticket, Verdict,
+};
+use ebonypass_core::time::Instant;
+use proptest::prelude::*;
+
+const TARGETS: u32 = 3;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Offer { member: u16, kind: u16, deadline_us: u64 },
+    Report { pick: usize, report: Report },
+    Abandon { pick: usize },
+    SetTarget { target: u32, slots: u32, state: State },
+    Load { target: u32, busy: u32, queued: u32 },
+    Pass { us: u64 },
+    Drain,
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let report = prop_oneof![
+        8 => Just(Report::Answered),
+        1 => Just(Report::Shed),
+        1 => Just(Report::Unsent),
+        1 => Just(Report::Lost),
+    ];
+    let state =
+        prop_oneof![3 => Just(State::Ready), 1 => Just(State::Leaving), 1 => Just(State::Gone)];
+    prop_oneof![
+        8 => (0..3u16, 0..4u16, 100..200_000u64)
+            .prop_map(|(member, kind, deadline_us)| Step::Offer { member, kind, deadline_us }),
+        8 => (any::<usize>(), report).prop_map(|(pick, report)| Step::Report { pick, report }),
+        1 => any::<usize>().prop_map(|pick| Step::Abandon { pick }),
+        1 => (0..TARGETS, 1..4u32, state)
+            .prop_map(|(target, slots, state)| Step::SetTarget { target, slots, state }),
+        1 => (0..TARGETS, 0..4u32, 0..4u32)
+            .prop_map(|(target, busy, queued)| Step::Load { target, busy, queued }),
+        4 => (1..30_000u64).prop_map(|us| Step::Pass { us }),
+        8 => Just(Step::Drain),
+    ]
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    idempotent: bool,
+    /// Attempts that a target may have begun.
+    may_have_run: u32,
+    in_flight: u32,
+    attempts: u8,
+    is_closed: bool,
+}
+
+/// What a careful driver knows.
+struct Model {
+    pool: Pool,
+    now: Instant,
+    specs: HashMap<u32, Spec>,
+    busy: HashMap<u32, u32>,
+    seen: HashMap<Ticket, Seen>,
+    flights: Vec<(Ticket, Attempt, TargetId)>,
+}
+
+impl Model {
+    fn set_target(&mut self, target: u32, spec: Spec) {
+        self.specs.insert(target, spec);
+        self.pool.set_target(self.now, TargetId(target), spec);
+    }
+
+    fn drain(&mut self) {
+        while let Some(action) = self.pool.next_action(self.now) {
+            match action {
+                Action::Dispatch { ticket, attempt, target } => self.send(ticket, attempt, target),
+                Action::Hedge { ticket, attempt, target } => {
+                    assert!(self.seen[&ticket].idempotent);
+                    self.send(ticket, attempt, target);
+                }
+                Action::Cancel { ticket, .. } => assert!(self.seen[&ticket].is_closed),
+                Action::Refuse { ticket, reason } => {
+                    assert_eq!(reason.outcome(), Outcome::NotRun);
+                    assert_eq!(self.seen[&ticket].may_have_run, 0, "a wrong \"not run\"");
+                    self.close(ticket);
+                }
+                Action::Fail { ticket, reason } => {
+                    assert_eq!(reason.outcome(), Outcome::Unknown);
+                    self.close(ticket);
+                }
+            }
+        }
+        assert!(self.pool.wake_at().is_none_or(|at| at > self.now), "the driver would spin");
+    }
+
+    fn send(&mut self, ticket: Ticket, attempt: Attempt, target: TargetId) {
+        let spec = self.specs[&target.0];
+        assert_eq!(spec.state, State::Ready, "dispatched to a target that may take no work");
+        let busy = self.busy.entry(target.0).or_default();
+        *busy += 1;
+        assert!(*busy <= spec.slots, "more in flight than slots");
+        let seen = self.seen.get_mut(&ticket).expect("an offered ticket");
+        assert!(!seen.is_closed);
+        assert_eq!(attempt.0, seen.attempts, "attempts are numbered in order");
+        seen.attempts += 1;
+        seen.in_flight += 1;
+        seen.may_have_run += 1;
+        assert!(seen.idempotent || seen.may_have_run == 1, "non-idempotent work sent twice");
+        self.flights.push((ticket, attempt, target));
+    }
+
+    fn report(&mut self, pick: usize, report: Report) {
+        if self.flights.is_empty() {
+            return;
+        }
+        let (ticket, attempt, target) = self.flights.swap_remove(pick % self.flights.len());
+        *self.busy.get_mut(&target.0).expect("a busy target") -= 1;
+        let seen = self.seen.get_mut(&ticket).expect("an offered ticket");
+        seen.in_flight -= 1;
+        if matches!(report, Report::Shed | Report::Unsent) {
+            seen.may_have_run -= 1;
+        }
+        let was_closed = seen.is_closed;
+        let verdict = self.pool.report(self.now, ticket, attempt, report);
+        let expected = match report {
+            _ if was_closed => Verdict::Ignored,
+            Report::Answered => Verdict::Settled,
+            _ => Verdict::Pending,
+        };
+        assert_eq!(verdict, expected);
+        if verdict == Verdict::Settled {
+            self.close(ticket);
+        }
+        // A second report of the same attempt must not touch the job that now has the position.
+        let again = self.pool.report(self.now, ticket, attempt, Report::Answered);
+        assert_eq!(again, Verdict::Ignored);
+    }
+
+    fn close(&mut self, ticket: Ticket) {
+        let seen = self.seen.get_mut(&ticket).expect("an offered ticket");
+        assert!(!std::mem::replace(&mut seen.is_closed, true), "closed twice");
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Offer { member, kind, deadline_us } => {
+                let idempotent = kind % 2 == 0;
+                let deadline = at(self.now.as_micros() + deadline_us);
+                let job = Job { flow: flow(member, kind), deadline, idempotent };
+                if let Ok(ticket) = self.pool.offer(self.now, job) {
+                    let seen = Seen { idempotent, ..Seen::default() };
+                    assert!(self.seen.insert(ticket, seen).is_none(), "a ticket was given twice");
+                }
+            }
+            Step::Report { pick, report } => self.report(pick, report),
+            Step::Abandon { pick } => {
+                let open = self.seen.iter().filter(|(_, seen)| !seen.is_closed);
+                let mut open: Vec<Ticket> = open.map(|(&ticket, _)| ticket).collect();
+                open.sort_by_key(|ticket| format!("{ticket:?}"));
+                if !open.is_empty() {
+                    let ticket = open[pick % open.len()];
+                    self.pool.abandon(self.now, ticket);
+                    self.close(ticket);
+                }
+            }
+            Step::SetTarget { target, slots, state } => {
+                self.set_target(target, Spec { slots, state });
+            }
+            Step::Load { target, busy, queued } => {
+                self.pool.note_load(self.now, TargetId(target), Load { busy, queued });
+            }
+            Step::Pass { us } => self.now = at(self.now.as_micros() + us),
+            Step::Drain => self.drain(),
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, ..ProptestConfig::default() })]
+
+    /// Guards against second dispatches of non-idempotent work, overfull or leaving targets, jobs
+    /// that are closed twice or never, wrong "not run" and mixed-up tickets.
+    #[test]
+    fn promises_hold(steps in prop::collection::vec(any_step(), 1..400)) {
+        let mut model = Model {
+            pool: Pool::new(Config { queue_limit: 64, ..Config::default() }),
+            now: Instant::ZERO,
+            specs: HashMap::new(),
+            busy: HashMap::new(),
+            seen: HashMap::new(),
+            flights: Vec::new(),
+        };
+        for target in 0..TARGETS {
+            model.set_target(target, common::ready(2));
+        }
+        for step in steps {
+            model.step(step);
+        }
+        model.drain();
+        while !model.flights.is_empty() {
+            model.report(0, Report::Answered);
+            model.drain();
+        }
+        model.now = at(model.now.as_micros() + 1_000_000);
+        model.drain();
+        prop_assert!(model.seen.values().all(|seen| seen.is_closed), "a job was never closed");
+    }
+}
