--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -1,10 +1,29 @@
 //! The queue and the targets of one pool: a service's targets in one region.
 //!
-//! The caller of this module does the sending. It offers jobs, pulls [`Action`]s, carries them
-//! out, and reports what became of each attempt.
+//! The caller of this module, the driver, does the sending. It offers jobs, pulls [`Action`]s,
+//! carries them out, and reports what became of each attempt:
+//!
+//! 1. Call [`Pool::set_target`] for each target before the first offer and on each change.
+//! 2. After each call that takes `&mut self`, and at [`Pool::wake_at`], call
+//!    [`Pool::next_action`] until it returns `None`.
+//! 3. Report each attempt of a `Dispatch` or `Hedge` exactly once, also after a `Cancel`, after the
+//!    ticket was closed and when the target is gone. The slot counts as used until then.
+//! 4. A ticket is closed by [`Verdict::Settled`], [`Action::Refuse`], [`Action::Fail`] or
+//!    [`Pool::abandon`], by exactly one of them. A closed ticket is never closed again.
+//! 5. `now` never decreases from one call to the next.
+
+use std::collections::VecDeque;
 
+use crate::budget::Budget;
+use crate::choice::Places;
+use crate::cost::Costs;
+use crate::demand::Demand;
 use crate::id::{KindId, MemberId, TargetId};
-use crate::time::Instant;
+use crate::job::{Jobs, Phase};
+use crate::outcome::Reason;
+use crate::queue::Queue;
+use crate::time::{Instant, Span};
+use crate::timer::Timers;
 
 /// A stream of like work that gets its own turn: one kind of one member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -50,9 +69,9 @@
     /// Tell the target that the reply of this attempt is no longer wanted.
     Cancel { ticket: Ticket, attempt: Attempt, target: TargetId },
     /// Tell the requester that the job was not run. The ticket is closed.
-    Refuse { ticket: Ticket, reason: crate::outcome::Reason },
+    Refuse { ticket: Ticket, reason: Reason },
     /// Tell the requester that the job may have run. The ticket is closed.
-    Fail { ticket: Ticket, reason: crate::outcome::Reason },
+    Fail { ticket: Ticket, reason: Reason },
 }
 
 /// What became of an attempt.
@@ -107,3 +126,163 @@
     /// Requests that wait at the target.
     pub queued: u32,
 }
+
+/// Settings of a pool.
+#[derive(Debug, Clone, Copy)]
+pub struct Config {
+    /// The most jobs that wait at once.
+    pub queue_limit: usize,
+    /// The most attempts of one job, hedges included.
+    pub attempt_limit: u8,
+    /// Hedges, in percent of dispatches.
+    pub hedge_percent: u32,
+    /// Second dispatches of lost idempotent jobs, in percent of dispatches.
+    pub retry_percent: u32,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config { queue_limit: 4096, attempt_limit: 4, hedge_percent: 5, retry_percent: 10 }
+    }
+}
+
+/// The part of its deadline that an unknown kind is thought to cost.
+const GUESS_DIVISOR: u64 = 10;
+
+/// Retries of lost jobs that are allowed at once, so that a target that dies while there is little
+/// traffic fails no idempotent job.
+const RETRY_BURST: u32 = 10;
+
+/// The queue and the targets of one pool.
+#[derive(Debug)]
+pub struct Pool {
+    pub(crate) config: Config,
+    pub(crate) now: Instant,
+    pub(crate) jobs: Jobs,
+    pub(crate) costs: Costs,
+    pub(crate) queue: Queue,
+    pub(crate) demand: Demand,
+    pub(crate) places: Places,
+    pub(crate) timers: Timers,
+    pub(crate) hedge_budget: Budget,
+    pub(crate) retry_budget: Budget,
+    /// Jobs that wait for a second attempt. Tickets of jobs that no longer do are skipped.
+    pub(crate) hedges: VecDeque<Ticket>,
+    pub(crate) outbox: VecDeque<Action>,
+    /// The last offer of an idempotent job, which could probe a suspect.
+    pub(crate) idempotent_at: Instant,
+}
+
+impl Pool {
+    /// An empty pool without targets.
+    pub fn new(config: Config) -> Pool {
+        Pool {
+            config,
+            now: Instant::ZERO,
+            jobs: Jobs::default(),
+            costs: Costs::default(),
+            queue: Queue::default(),
+            demand: Demand::default(),
+            places: Places::default(),
+            timers: Timers::default(),
+            hedge_budget: Budget::new(config.hedge_percent, 1),
+            retry_budget: Budget::new(config.retry_percent, RETRY_BURST).with_full(),
+            hedges: VecDeque::new(),
+            outbox: VecDeque::new(),
+            idempotent_at: Instant::ZERO,
+        }
+    }
+
+    /// Takes a job into the queue. An error means that it is not run.
+    pub fn offer(&mut self, now: Instant, job: Job) -> Result<Ticket, Reason> {
+        self.now = now;
+        if now >= job.deadline {
+            return Err(Reason::DeadlineTooClose);
+        }
+        if self.places.ready_slots() == 0 {
+            return Err(Reason::NoTarget);
+        }
+        let guess = Span::from_micros(job.deadline.since(now).as_micros() / GUESS_DIVISOR);
+        let cost = self.costs.enter(job.flow.kind, guess);
+        let lane = self.queue.enter(job.flow, cost);
+        self.demand.enter(lane);
+        if job.idempotent {
+            self.idempotent_at = now;
+        }
+        self.admit(now, &job, lane, cost)?;
+        let id = self.jobs.open(job, lane, cost);
+        self.queue.push_back(lane, id);
+        self.arm(id);
+        Ok(self.jobs.ticket(id))
+    }
+
+    /// The next thing to do, if any.
+    pub fn next_action(&mut self, now: Instant) -> Option<Action> {
+        self.now = now;
+        self.fire_due(now);
+        if let Some(action) = self.outbox.pop_front() {
+            return Some(action);
+        }
+        self.readmit(now);
+        let hedge = self.next_hedge(now);
+        let probe = hedge.or_else(|| self.next_probe(now));
+        probe.or_else(|| self.next_dispatch(now))
+    }
+
+    /// Closes the ticket: its caller went away. The attempts in flight must still be reported.
+    pub fn abandon(&mut self, now: Instant, ticket: Ticket) {
+        self.now = now;
+        let is_close = |action: &Action| match *action {
+            Action::Refuse { ticket: closed, .. } | Action::Fail { ticket: closed, .. } => {
+                closed == ticket
+            }
+            _ => false,
+        };
+        self.outbox.retain(|action| !is_close(action));
+        let Some(id) = self.jobs.find(ticket) else { return };
+        match self.jobs[id].phase {
+            Phase::Queued => {
+                self.queue.remove(id);
+                self.close(id);
+            }
+            Phase::Running => self.close(id),
+            Phase::Free | Phase::Closed => {}
+        }
+    }
+
+    /// The next time at which [`Pool::next_action`] may have something to say without another
+    /// call before. It is later than the time of the last call.
+    pub fn wake_at(&self) -> Option<Instant> {
+        let timer = self.timers.first().map(|(at, _)| at);
+        let has_backlog = self.queue.len() > 0;
+        let place = has_backlog.then(|| self.places.wake_at(self.now)).flatten();
+        timer.into_iter().chain(place).min()
+    }
+
+    /// Adds or changes a target.
+    pub fn set_target(&mut self, now: Instant, target: TargetId, spec: Spec) {
+        self.now = now;
+        self.places.set(target, spec);
+        // When a target begins to straggle, each of its attempts in flight may need a hedge.
+        self.hedge_budget.set_burst(self.places.ready_slots().max(1));
+        if self.places.ready_slots() == 0 {
+            self.refuse_all();
+        }
+    }
+
+    /// Takes in a target's own load report, which is used as a hint only.
+    pub fn note_load(&mut self, now: Instant, target: TargetId, load: Load) {
+        self.now = now;
+        self.places.note_load(now, target, load);
+    }
+
+    /// Free slots that the pool's own evidence confirms, less the jobs that wait for them.
+    pub fn free_slots(&self, now: Instant) -> u32 {
+        self.places.confirmed_slots(now).saturating_sub(self.queue.len() as u32)
+    }
+
+    /// The number of jobs that wait for a slot.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+}
