Add the store client, TLS, settings, events, stop, metrics and traces

Cause: the programs and stand-ins need one place for files, sockets and signals. Ruled out: taking every failed write as "not written" (a reply can be lost after the write took effect); reading a watch's older version as news. Conclusion: stand-ins and command line can build on these interfaces.

--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -1,1 +1,362 @@
 //! The platform's store and VM list, met only here.
+//!
+//! [`Http`] speaks the wire protocol of section 5.4 of docs/design.md. Everything else in the
+//! programs sees the [`Store`] trait.
+
+use std::fmt;
+use std::future::Future;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_lite::future;
+use serde::{Deserialize, Serialize};
+use trillium_client::{Client, Conn, Status};
+use trillium_smol::ClientConfig;
+
+/// Key of the policy document in force.
+pub const POLICY_KEY: &str = "policy/current";
+/// Key of the steward's lease.
+pub const STEWARD_KEY: &str = "lease/steward";
+/// Key of the shift plan.
+pub const PLAN_KEY: &str = "plan/current";
+
+/// The largest value that the store takes, in bytes.
+pub const MAX_VALUE: usize = 1_000_000;
+
+/// The largest listing that is read, in bytes.
+const MAX_LIST: u64 = 16 * 1024 * 1024;
+
+/// How long a call may take. The store answers in milliseconds when it is well.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A value and the version at which the store holds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Object {
+    /// The version, from 1.
+    pub version: u64,
+    /// The value.
+    pub value: Vec<u8>,
+}
+
+/// A key and its version, from a listing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// The key.
+    pub key: String,
+    /// The version.
+    pub version: u64,
+}
+
+/// What a VM is used for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// It runs an entry.
+    Entry,
+    /// It runs a target.
+    Target,
+}
+
+/// What the platform says about a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Life {
+    /// It runs.
+    Live,
+    /// It will stop soon.
+    Leaving,
+}
+
+/// A VM of the platform's list, which lags.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    /// Unique name.
+    pub name: String,
+    /// What it is used for.
+    pub role: Role,
+    /// The service of a target.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<String>,
+    /// Where it runs.
+    pub data_centre: String,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Where an entry takes peers' connections.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer: Option<SocketAddr>,
+    /// Slots of a target.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slots: Option<u32>,
+    /// Whether it will stop soon.
+    pub state: Life,
+}
+
+/// Why a call to the store gave no result.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// The object has another version than the write expected. Nothing was written.
+    Conflict {
+        /// The version that the store holds; 0 if the object is absent.
+        current: u64,
+    },
+    /// The store has no such object.
+    Absent,
+    /// The store was not reached. Nothing was written.
+    Unreachable(String),
+    /// No answer came after the write was sent. It may have taken effect.
+    Uncertain(String),
+    /// The store refused the call. Nothing was written.
+    Refused(u16),
+    /// The answer is not what the protocol says.
+    Malformed(String),
+    /// The value is larger than [`MAX_VALUE`]. Nothing was sent.
+    TooLarge(usize),
+    /// The key has other characters than letters, digits, `-`, `_`, `.` and `/`. Nothing was sent.
+    BadKey(String),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Conflict { current } => write!(f, "the store holds version {current}"),
+            Error::Absent => write!(f, "the store has no such object"),
+            Error::Unreachable(cause) => write!(f, "the store is not reachable: {cause}"),
+            Error::Uncertain(cause) => {
+                write!(f, "no answer from the store, the write may have taken effect: {cause}")
+            }
+            Error::Refused(status) => write!(f, "the store refused the call with status {status}"),
+            Error::Malformed(what) => write!(f, "malformed answer from the store: {what}"),
+            Error::TooLarge(len) => write!(f, "{len} bytes are more than the store takes"),
+            Error::BadKey(key) => write!(f, "bad object key {key:?}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// An object store with versions, conditional writes and watches, and the VM list beside it.
+pub trait Store: Send + Sync + 'static {
+    /// The object of `key`, or [`Error::Absent`].
+    fn get(&self, key: &str) -> impl Future<Output = Result<Object, Error>> + Send;
+
+    /// The object of `key` as soon as its version is above `after`; none after `wait`.
+    fn watch(
+        &self,
+        key: &str,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Option<Object>, Error>> + Send;
+
+    /// Writes `value` if the object has the version `if_version` (0: if it is absent), and gives
+    /// the new version.
+    fn put(
+        &self,
+        key: &str,
+        value: Vec<u8>,
+        if_version: u64,
+    ) -> impl Future<Output = Result<u64, Error>> + Send;
+
+    /// The objects whose keys start with `prefix`.
+    fn list(&self, prefix: &str) -> impl Future<Output = Result<Vec<Item>, Error>> + Send;
+
+    /// The VM list.
+    fn vms(&self) -> impl Future<Output = Result<Vec<Vm>, Error>> + Send;
+}
+
+/// The store over HTTP/1.1.
+#[derive(Debug, Clone)]
+pub struct Http {
+    client: Client,
+    base: String,
+    timeout: Duration,
+}
+
+impl Http {
+    /// A client of the store at `address`.
+    pub fn new(address: SocketAddr) -> Http {
+        let config = ClientConfig::new().with_nodelay(true);
+        // A body up to this size is sent without asking first by `Expect: 100-continue`, which a
+        // store need not know; waiting for its answer would cost a second per write.
+        let client = Client::new(config).with_max_buffered_request_body(MAX_VALUE);
+        Http { client, base: format!("http://{address}"), timeout: CALL_TIMEOUT }
+    }
+
+    /// Gives each call `timeout` in place of 2 s.
+    pub fn with_timeout(self, timeout: Duration) -> Http {
+        Http { timeout, ..self }
+    }
+
+    async fn fetch(&self, url: String, wait: Duration, max: u64) -> Result<Reply, Error> {
+        let call = call(self.client.get(url.as_str()), max);
+        let reply = limited(call, self.timeout + wait).await;
+        reply.map_err(|cause| Error::Unreachable(cause.to_string()))
+    }
+}
+
+impl Store for Http {
+    async fn get(&self, key: &str) -> Result<Object, Error> {
+        check_key(key)?;
+        let url = format!("{}/objects/{key}", self.base);
+        self.fetch(url, Duration::ZERO, MAX_VALUE as u64).await?.into_object()
+    }
+
+    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Option<Object>, Error> {
+        check_key(key)?;
+        let wait_ms = wait.as_millis();
+        let url = format!("{}/objects/{key}?after={after}&wait_ms={wait_ms}", self.base);
+        let reply = self.fetch(url, wait, MAX_VALUE as u64).await?;
+        if reply.status == 304 {
+            return Ok(None);
+        }
+        let object = reply.into_object()?;
+        if object.version <= after {
+            // A restored or confused store may answer with an old version, which must not be used.
+            return Err(Error::Malformed(format!("version {} after {after}", object.version)));
+        }
+        Ok(Some(object))
+    }
+
+    async fn put(&self, key: &str, value: Vec<u8>, if_version: u64) -> Result<u64, Error> {
+        check_key(key)?;
+        if value.len() > MAX_VALUE {
+            return Err(Error::TooLarge(value.len()));
+        }
+        let url = format!("{}/objects/{key}", self.base);
+        let conn = self.client.put(url.as_str()).with_request_header("x-if-version", if_version);
+        let conn = conn.with_body(value);
+        let reply = match limited(call(conn, MAX_VALUE as u64), self.timeout).await {
+            Ok(reply) => reply,
+            Err(cause) if cause.is_unsent() => return Err(Error::Unreachable(cause.to_string())),
+            Err(cause) => return Err(Error::Uncertain(cause.to_string())),
+        };
+        match (reply.status, reply.version) {
+            (200, Some(version)) => Ok(version),
+            (412, Some(current)) => Err(Error::Conflict { current }),
+            (412, None) => Err(Error::Conflict { current: 0 }),
+            (400..=499, _) => Err(Error::Refused(reply.status)),
+            (status, _) => Err(Error::Uncertain(format!("status {status}"))),
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Item>, Error> {
+        check_key(prefix)?;
+        let url = format!("{}/objects?prefix={prefix}", self.base);
+        let reply = self.fetch(url, Duration::ZERO, MAX_LIST).await?;
+        scan_items(&reply.into_value()?)
+    }
+
+    async fn vms(&self) -> Result<Vec<Vm>, Error> {
+        let url = format!("{}/vms", self.base);
+        let reply = self.fetch(url, Duration::ZERO, MAX_LIST).await?;
+        scan_vms(&reply.into_value()?)
+    }
+}
+
+/// Reads a listing. Arbitrary bytes give an error, never a panic.
+pub fn scan_items(bytes: &[u8]) -> Result<Vec<Item>, Error> {
+    #[derive(Deserialize)]
+    struct List {
+        objects: Vec<Item>,
+    }
+    let list: List = serde_json::from_slice(bytes).map_err(malformed)?;
+    Ok(list.objects)
+}
+
+/// Reads a VM list. Arbitrary bytes give an error, never a panic.
+pub fn scan_vms(bytes: &[u8]) -> Result<Vec<Vm>, Error> {
+    #[derive(Deserialize)]
+    struct List {
+        vms: Vec<Vm>,
+    }
+    let list: List = serde_json::from_slice(bytes).map_err(malformed)?;
+    Ok(list.vms)
+}
+
+fn malformed(cause: impl fmt::Display) -> Error {
+    Error::Malformed(cause.to_string())
+}
+
+fn check_key(key: &str) -> Result<(), Error> {
+    let fits = |byte: u8| byte.is_ascii_alphanumeric() || b"-_./".contains(&byte);
+    if key.bytes().all(fits) && !key.contains("..") && !key.contains("//") {
+        return Ok(());
+    }
+    Err(Error::BadKey(key.to_owned()))
+}
+
+/// A whole reply of the store.
+#[derive(Debug)]
+struct Reply {
+    status: u16,
+    version: Option<u64>,
+    value: Vec<u8>,
+}
+
+impl Reply {
+    fn into_value(self) -> Result<Vec<u8>, Error> {
+        match self.status {
+            200 => Ok(self.value),
+            404 => Err(Error::Absent),
+            500..=599 => Err(Error::Unreachable(format!("status {}", self.status))),
+            status => Err(Error::Refused(status)),
+        }
+    }
+
+    fn into_object(self) -> Result<Object, Error> {
+        let version = self.version;
+        let value = self.into_value()?;
+        let version = version.ok_or_else(|| malformed("no x-version header"))?;
+        Ok(Object { version, value })
+    }
+}
+
+/// Why a call gave no whole reply.
+#[derive(Debug)]
+enum Loss {
+    Timeout,
+    Client(trillium_client::Error),
+}
+
+impl Loss {
+    /// Whether the connection was refused, so that no byte of the request was sent.
+    fn is_unsent(&self) -> bool {
+        let Loss::Client(trillium_client::Error::Io(error)) = self else { return false };
+        matches!(
+            error.kind(),
+            ErrorKind::ConnectionRefused
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable
+                | ErrorKind::AddrNotAvailable
+        )
+    }
+}
+
+impl fmt::Display for Loss {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Loss::Timeout => write!(f, "no answer in time"),
+            Loss::Client(error) => write!(f, "{error}"),
+        }
+    }
+}
+
+async fn call(mut conn: Conn, max: u64) -> Result<Reply, trillium_client::Error> {
+    (&mut conn).await?;
+    let status = conn.status().map_or(0, |status: Status| status as u16);
+    let version = conn.response_headers().get_str("x-version").and_then(|text| text.parse().ok());
+    let value = conn.response_body().with_max_len(max).read_bytes().await?;
+    Ok(Reply { status, version, value })
+}
+
+async fn limited(
+    call: impl Future<Output = Result<Reply, trillium_client::Error>>,
+    timeout: Duration,
+) -> Result<Reply, Loss> {
+    let call = async { call.await.map_err(Loss::Client) };
+    let timer = async {
+        smol::Timer::after(timeout).await;
+        Err(Loss::Timeout)
+    };
+    future::or(call, timer).await
+}
--- a/crates/node/src/tls.rs
+++ b/crates/node/src/tls.rs
@@ -1,1 +1,277 @@
 //! Keys and certificates.
+//!
+//! One authority signs the certificate of each entry. A certificate carries the entry's name as a
+//! DNS name, and both sides of a connection present one.
+
+use std::fmt;
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rcgen::{
+    BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
+    KeyUsagePurpose, date_time_ymd,
+};
+use rustls::RootCertStore;
+use rustls::crypto::CryptoProvider;
+use rustls::server::WebPkiClientVerifier;
+use rustls_pki_types::pem::PemObject;
+use rustls_pki_types::{CertificateDer, PrivateKeyDer};
+use x509_parser::prelude::{FromDer, GeneralName, X509Certificate};
+
+use crate::settings;
+
+/// Application protocol of the connections between entries, with its version.
+pub const PROTOCOL: &[u8] = b"ebonypass/1";
+
+/// How long a certificate that is issued here is valid.
+const LIFE: Duration = Duration::from_secs(90 * 86_400);
+
+/// How long before its end a certificate's expiry is reported.
+pub const EXPIRY_WARNING: Duration = Duration::from_secs(14 * 86_400);
+
+/// What is wrong with a key or certificate.
+#[derive(Debug)]
+pub enum Error {
+    /// A file cannot be read or written.
+    File(PathBuf, std::io::Error),
+    /// A file holds no usable key or certificate.
+    Malformed(PathBuf, String),
+    /// A key or certificate cannot be made.
+    Issue(rcgen::Error),
+    /// Keys and certificates do not fit together.
+    Config(String),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::File(path, error) => write!(f, "{}: {error}", path.display()),
+            Error::Malformed(path, what) => write!(f, "{}: {what}", path.display()),
+            Error::Issue(error) => write!(f, "cannot issue: {error}"),
+            Error::Config(what) => write!(f, "cannot use key and certificate: {what}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<rcgen::Error> for Error {
+    fn from(error: rcgen::Error) -> Error {
+        Error::Issue(error)
+    }
+}
+
+/// A certificate and its private key as PEM text.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pair {
+    /// The certificate.
+    pub certificate: String,
+    /// The private key.
+    pub key: String,
+}
+
+impl Pair {
+    /// Writes `<stem>.pem` and `<stem>.key` into `folder`; only the owner may read the key.
+    pub fn write(&self, folder: &Path, stem: &str) -> Result<(), Error> {
+        write_file(&folder.join(format!("{stem}.pem")), &self.certificate, 0o644)?;
+        write_file(&folder.join(format!("{stem}.key")), &self.key, 0o600)
+    }
+
+    /// Reads what [`Pair::write`] wrote.
+    pub fn read(folder: &Path, stem: &str) -> Result<Pair, Error> {
+        let certificate = read_file(&folder.join(format!("{stem}.pem")))?;
+        Ok(Pair { certificate, key: read_file(&folder.join(format!("{stem}.key")))? })
+    }
+}
+
+fn write_file(path: &Path, text: &str, mode: u32) -> Result<(), Error> {
+    use std::io::Write;
+    use std::os::unix::fs::OpenOptionsExt;
+    let open = fs::OpenOptions::new().write(true).create_new(true).mode(mode).open(path);
+    let written = open.and_then(|mut file| file.write_all(text.as_bytes()));
+    written.map_err(|error| Error::File(path.to_owned(), error))
+}
+
+fn read_file(path: &Path) -> Result<String, Error> {
+    fs::read_to_string(path).map_err(|error| Error::File(path.to_owned(), error))
+}
+
+/// Makes a new authority. Its certificate does not expire before 2050.
+pub fn new_authority() -> Result<Pair, Error> {
+    let key = KeyPair::generate()?;
+    let mut params = CertificateParams::default();
+    params.distinguished_name.push(DnType::CommonName, "ebonypass authority");
+    params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::DigitalSignature];
+    params.not_after = date_time_ymd(2050, 1, 1);
+    let certificate = params.self_signed(&key)?;
+    Ok(Pair { certificate: certificate.pem(), key: key.serialize_pem() })
+}
+
+/// Issues a certificate for the entry `name` that is valid for 90 days.
+pub fn issue(authority: &Pair, name: &str) -> Result<Pair, Error> {
+    issue_for(authority, name, LIFE)
+}
+
+/// Issues a certificate for the entry `name` that is valid for `life`.
+pub fn issue_for(authority: &Pair, name: &str, life: Duration) -> Result<Pair, Error> {
+    let issuer_key = KeyPair::from_pem(&authority.key)?;
+    let issuer = Issuer::from_ca_cert_pem(&authority.certificate, issuer_key)?;
+    let key = KeyPair::generate()?;
+    let mut params = CertificateParams::new([name.to_owned()])?;
+    params.distinguished_name.push(DnType::CommonName, name);
+    params.extended_key_usages =
+        vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
+    let now = SystemTime::now();
+    // Clocks of the VMs may differ by some minutes.
+    params.not_before = (now - Duration::from_secs(3_600)).into();
+    params.not_after = (now + life).into();
+    let certificate = params.signed_by(&key, &issuer)?;
+    Ok(Pair { certificate: certificate.pem(), key: key.serialize_pem() })
+}
+
+/// Authorities, own certificate and own key, read from files.
+#[derive(Debug)]
+pub struct Identity {
+    roots: Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+    name: String,
+    expiry: SystemTime,
+}
+
+impl Identity {
+    /// Reads the files of `files`. A key that does not belong to the certificate is an error.
+    pub fn load(files: &settings::Tls) -> Result<Identity, Error> {
+        let roots = Arc::new(read_roots(&files.authority)?);
+        let chain = read_chain(&files.certificate)?;
+        let key = PrivateKeyDer::from_pem_slice(read_file(&files.key)?.as_bytes())
+            .map_err(|error| Error::Malformed(files.key.clone(), error.to_string()))?;
+        let malformed = |what: &str| Error::Malformed(files.certificate.clone(), what.to_owned());
+        let name = name_of(&chain[0]).ok_or_else(|| malformed("no DNS name"))?;
+        let expiry = expiry_of(&chain[0]).ok_or_else(|| malformed("no expiry"))?;
+        let identity = Identity { roots, chain, key, name, expiry };
+        identity.server()?;
+        Ok(identity)
+    }
+
+    /// The name in the own certificate.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// When the own certificate expires.
+    pub const fn expiry(&self) -> SystemTime {
+        self.expiry
+    }
+
+    /// Whether the own certificate expires within [`EXPIRY_WARNING`] of `now`.
+    pub fn is_expiring(&self, now: SystemTime) -> bool {
+        now + EXPIRY_WARNING >= self.expiry
+    }
+
+    /// Configuration of a server that accepts only clients with a certificate of an authority.
+    pub fn server(&self) -> Result<rustls::ServerConfig, Error> {
+        let verifier = WebPkiClientVerifier::builder_with_provider(self.roots.clone(), provider())
+            .build()
+            .map_err(config_error)?;
+        let mut config = rustls::ServerConfig::builder_with_provider(provider())
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(config_error)?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(self.chain.clone(), self.key.clone_key())
+            .map_err(config_error)?;
+        config.alpn_protocols = vec![PROTOCOL.to_vec()];
+        Ok(config)
+    }
+
+    /// Configuration of a client that presents the own certificate and accepts only servers with a
+    /// certificate of an authority.
+    pub fn client(&self) -> Result<rustls::ClientConfig, Error> {
+        let mut config = rustls::ClientConfig::builder_with_provider(provider())
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(config_error)?
+            .with_root_certificates(self.roots.clone())
+            .with_client_auth_cert(self.chain.clone(), self.key.clone_key())
+            .map_err(config_error)?;
+        config.alpn_protocols = vec![PROTOCOL.to_vec()];
+        Ok(config)
+    }
+}
+
+fn config_error(error: impl fmt::Display) -> Error {
+    Error::Config(error.to_string())
+}
+
+fn provider() -> Arc<CryptoProvider> {
+    Arc::new(rustls::crypto::ring::default_provider())
+}
+
+fn read_chain(path: &Path) -> Result<Vec<CertificateDer<'static>>, Error> {
+    let text = read_file(path)?;
+    let chain: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(text.as_bytes()).collect();
+    let malformed = |what: String| Error::Malformed(path.to_owned(), what);
+    let chain = chain.map_err(|error| malformed(error.to_string()))?;
+    if chain.is_empty() {
+        return Err(malformed("no certificate".to_owned()));
+    }
+    Ok(chain)
+}
+
+fn read_roots(path: &Path) -> Result<RootCertStore, Error> {
+    let mut roots = RootCertStore::empty();
+    for certificate in read_chain(path)? {
+        let added = roots.add(certificate);
+        added.map_err(|error| Error::Malformed(path.to_owned(), error.to_string()))?;
+    }
+    Ok(roots)
+}
+
+/// The first DNS name of a certificate.
+pub fn name_of(certificate: &CertificateDer<'_>) -> Option<String> {
+    let (_, parsed) = X509Certificate::from_der(certificate).ok()?;
+    let names = parsed.subject_alternative_name().ok()??;
+    names.value.general_names.iter().find_map(|name| match name {
+        GeneralName::DNSName(name) => Some((*name).to_owned()),
+        _ => None,
+    })
+}
+
+fn expiry_of(certificate: &CertificateDer<'_>) -> Option<SystemTime> {
+    let (_, parsed) = X509Certificate::from_der(certificate).ok()?;
+    let seconds = u64::try_from(parsed.validity().not_after.timestamp()).ok()?;
+    Some(UNIX_EPOCH + Duration::from_secs(seconds))
+}
+
+/// Notices that files of an [`Identity`] changed, so that it can be read again without a restart.
+#[derive(Debug)]
+pub struct Watch {
+    files: settings::Tls,
+    seen: Vec<Option<SystemTime>>,
+}
+
+impl Watch {
+    /// A watch over `files` as they are now.
+    pub fn new(files: settings::Tls) -> Watch {
+        let seen = changes(&files);
+        Watch { files, seen }
+    }
+
+    /// The new identity if a file changed since the last call. An error leaves the old identity in
+    /// use, and the files are tried again after their next change.
+    pub fn poll(&mut self) -> Option<Result<Identity, Error>> {
+        let seen = changes(&self.files);
+        if seen == self.seen {
+            return None;
+        }
+        self.seen = seen;
+        Some(Identity::load(&self.files))
+    }
+}
+
+fn changes(files: &settings::Tls) -> Vec<Option<SystemTime>> {
+    let paths = [&files.authority, &files.certificate, &files.key];
+    paths.iter().map(|path| fs::metadata(path).and_then(|data| data.modified()).ok()).collect()
+}
--- a/crates/node/src/trace.rs
+++ b/crates/node/src/trace.rs
@@ -1,1 +1,118 @@
 //! Trace context and spans.
+//!
+//! The context is that of W3C Trace Context, version 00: `00-<trace>-<span>-<flags>`.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Instant;
+
+use crate::event::{Event, note};
+
+/// The request header that carries the context.
+pub const HEADER: &str = "traceparent";
+
+/// The flag that asks for recording.
+const SAMPLED: u8 = 1;
+
+/// A position in a trace.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Context {
+    trace: u128,
+    span: u64,
+    flags: u8,
+}
+
+/// The text is not a context of version 00.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Malformed;
+
+impl Context {
+    /// The start of a new trace.
+    pub fn new() -> Context {
+        Context { trace: fastrand::u128(1..), span: fastrand::u64(1..), flags: 0 }
+    }
+
+    /// The context of `header`, or a new trace if it is absent or malformed, as the standard says.
+    pub fn from_header(header: Option<&str>) -> Context {
+        header.and_then(|text| text.parse().ok()).unwrap_or_default()
+    }
+
+    /// A new position below this one.
+    pub fn child(&self) -> Context {
+        Context { span: fastrand::u64(1..), ..*self }
+    }
+
+    /// Whether the caller asked for recording.
+    pub const fn is_sampled(&self) -> bool {
+        self.flags & SAMPLED != 0
+    }
+}
+
+impl Default for Context {
+    fn default() -> Context {
+        Context::new()
+    }
+}
+
+impl fmt::Display for Context {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "00-{:032x}-{:016x}-{:02x}", self.trace, self.span, self.flags)
+    }
+}
+
+impl FromStr for Context {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Context, Malformed> {
+        let bytes = text.as_bytes();
+        let hex = |byte: &u8| matches!(byte, b'0'..=b'9' | b'a'..=b'f');
+        let dashes = [2, 35, 52];
+        let fits = |(at, byte): (usize, &u8)| match dashes.contains(&at) {
+            true => *byte == b'-',
+            false => hex(byte),
+        };
+        if bytes.len() != 55 || !bytes.iter().enumerate().all(fits) || &text[..2] != "00" {
+            return Err(Malformed);
+        }
+        let trace = u128::from_str_radix(&text[3..35], 16).map_err(|_| Malformed)?;
+        let span = u64::from_str_radix(&text[36..52], 16).map_err(|_| Malformed)?;
+        let flags = u8::from_str_radix(&text[53..], 16).map_err(|_| Malformed)?;
+        if trace == 0 || span == 0 {
+            return Err(Malformed);
+        }
+        Ok(Context { trace, span, flags })
+    }
+}
+
+/// One hop of a request.
+#[derive(Debug)]
+pub struct Span {
+    parent: Context,
+    context: Context,
+    name: &'static str,
+    start: Instant,
+}
+
+impl Span {
+    /// Starts a span called `name` below `parent`.
+    pub fn new(parent: Context, name: &'static str) -> Span {
+        Span { parent, context: parent.child(), name, start: Instant::now() }
+    }
+
+    /// The context to send with the next hop.
+    pub const fn context(&self) -> Context {
+        self.context
+    }
+
+    /// Ends the span and, if the caller asked for recording, logs it.
+    pub fn close(self, result: &str) {
+        if self.parent.is_sampled() {
+            let (parent, span) = (self.parent.span, self.context);
+            let (name, us) = (self.name, self.start.elapsed().as_micros());
+            note(
+                Event::Span,
+                format_args!("{span} parent={parent:016x} name={name} us={us} result={result}"),
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/stop.rs
@@ -0,0 +1,29 @@
+//! The stop of a process.
+
+use std::time::Duration;
+
+use ebonypass_node::stop::{Stop, signalled};
+use futures_lite::future;
+
+/// Each clone sees the trigger, whether it waits before or after.
+#[test]
+fn trigger_reaches_clones() {
+    let (trigger, stop) = Stop::new();
+    let other = stop.clone();
+    assert!(!other.is_started());
+    trigger.pull();
+    trigger.pull();
+    assert!(stop.is_started());
+    smol::block_on(future::zip(stop.started(), other.started()));
+}
+
+/// SIGTERM ends the wait and not the process.
+#[test]
+fn sigterm_ends_wait() {
+    let wait = smol::spawn(signalled());
+    smol::block_on(async {
+        smol::Timer::after(Duration::from_millis(50)).await;
+        signal_hook::low_level::raise(signal_hook::consts::SIGTERM).expect("raise");
+        wait.await.expect("signal");
+    });
+}
