--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -57,6 +57,11 @@
     TargetId(u32)
 }
 
+key! {
+    /// An entry, in the order in which this process first heard of it.
+    EntryId(u32)
+}
+
 /// A vector whose positions are keys of one type.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Arena<K, V> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,5 +24,4 @@
 pub mod shift;
 pub mod text;
 pub mod time;
-pub mod topology;
 pub mod version;
--- a/crates/core/src/topology.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Arena tree of regions, data centres and targets.
