--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod seat;
 pub mod share;
 pub mod shift;
+pub mod submission;
 pub mod text;
 pub mod time;
 pub mod version;
--- /dev/null
+++ b/crates/core/tests/explore/mod.rs
@@ -0,0 +1,117 @@
+//! Parts that the explorers of interleavings share: clocks that differ in rate, a store with
+//! outages, and a bag of messages that loses, repeats and reorders.
+
+#![allow(dead_code, reason = "each test file uses other parts")]
+
+use ebonypass_core::lease::Reply;
+use ebonypass_core::time::{Instant, Span};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, TestRunner};
+
+/// The largest difference of a clock's rate from real time, in parts per million.
+pub const DRIFT_PPM: i64 = 5_000;
+
+/// A process's monotonic clock.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    pub offset_us: u64,
+    pub drift_ppm: i64,
+}
+
+impl Clock {
+    /// One of several clocks at both ends of the drift.
+    pub fn new(number: usize) -> Clock {
+        let drift_ppm = [DRIFT_PPM, -DRIFT_PPM, 0][number % 3];
+        Clock { offset_us: 1_000_000 * (1 + 7 * number as u64), drift_ppm }
+    }
+
+    /// What the clock shows at `real`.
+    pub fn read(&self, real: Instant) -> Instant {
+        let real = real.as_micros();
+        let drift = real as i64 * self.drift_ppm / 1_000_000;
+        Instant::from_micros((self.offset_us + real).saturating_add_signed(drift))
+    }
+}
+
+/// One object of the store.
+#[derive(Debug, Clone)]
+pub struct Store<V> {
+    pub value: Option<V>,
+    pub version: u64,
+    pub is_down: bool,
+}
+
+impl<V> Store<V> {
+    pub const fn new() -> Store<V> {
+        Store { value: None, version: 0, is_down: false }
+    }
+
+    /// Writes if the store is up and the condition holds.
+    pub fn put(&mut self, if_version: u64, value: V) -> Reply {
+        if self.is_down {
+            return Reply::Silent;
+        }
+        if if_version != self.version {
+            return Reply::Conflict(self.version);
+        }
+        self.version += 1;
+        self.value = Some(value);
+        Reply::Written(self.version)
+    }
+}
+
+/// One decision of the explorer: which kind of step, and what it applies to.
+#[derive(Clone, Copy)]
+pub struct Word(pub u32);
+
+impl std::fmt::Debug for Word {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Word({:#x})", self.0)
+    }
+}
+
+impl Word {
+    /// The kind of step, one of `count`.
+    pub const fn op(self, count: usize) -> usize {
+        (self.0 & 0xff) as usize % count
+    }
+
+    /// What it applies to, one of `count`.
+    pub const fn pick(self, count: usize) -> usize {
+        ((self.0 >> 8) & 0xfff) as usize % count
+    }
+
+    /// A second choice, one of `count`.
+    pub const fn other(self, count: usize) -> usize {
+        (self.0 >> 20) as usize % count
+    }
+
+    /// A length of time up to `max`, the shorter the more likely.
+    pub fn span(self, max: Span) -> Span {
+        let scale = [1_000, 100, 10, 1][self.pick(4)];
+        Span::from_micros(max.as_micros() / scale * (1 + self.other(4_096) as u64) / 4_096)
+    }
+}
+
+/// Takes a message out of the bag.
+pub fn draw<M>(bag: &mut Vec<M>, word: Word) -> Option<M> {
+    if bag.is_empty() {
+        return None;
+    }
+    Some(bag.swap_remove(word.pick(bag.len())))
+}
+
+/// Explores `cases` interleavings of up to `steps` steps from a fixed seed and returns the first
+/// fault, with the shortest sequence of steps that shows it.
+pub fn explore(
+    cases: u32,
+    steps: usize,
+    run: impl Fn(&[Word]) -> Result<(), String>,
+) -> Result<(), String> {
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    let rng = proptest::test_runner::TestRng::deterministic_rng(config.rng_algorithm);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let words = proptest::collection::vec(any::<u32>().prop_map(Word), steps / 2..steps);
+    let outcome = runner.run(&words, |words| run(&words).map_err(TestCaseError::fail));
+    outcome.map_err(|error| error.to_string())
+}
