--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod id;
 pub mod key;
 pub mod lease;
+pub mod object;
 pub mod outcome;
 pub mod pacer;
 pub mod policy;
--- a/crates/core/src/submission.rs
+++ b/crates/core/src/submission.rs
@@ -12,9 +12,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::lease::Reply;
+use crate::object::{Held, Read, Reply};
 use crate::time::{Instant, Span};
-use crate::version::Held;
 
 /// How long an unclear submission reads back.
 pub const SETTLE_LIMIT: Span = Span::from_secs(30);
@@ -83,17 +82,6 @@
     Unknown,
 }
 
-/// The store's answer to a read.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Read {
-    /// The object with its version.
-    Found(Held<Envelope>),
-    /// There is no such object.
-    Absent,
-    /// No answer came.
-    Silent,
-}
-
 #[derive(Debug, Clone, PartialEq)]
 enum Phase {
     Start,
@@ -133,7 +121,7 @@
     }
 
     /// Takes in the answer to a read.
-    pub fn note_read(&mut self, now: Instant, read: Read) {
+    pub fn note_read(&mut self, now: Instant, read: Read<Envelope>) {
         match self.phase {
             Phase::Start => self.start(read),
             Phase::ReadBack { until, .. } => {
@@ -165,17 +153,16 @@
         };
     }
 
-    fn start(&mut self, read: Read) {
+    fn start(&mut self, read: Read<Envelope>) {
         self.phase = match read {
             Read::Silent => Phase::Over(Settled::Unreachable),
             Read::Absent => Phase::Write,
-            Read::Found(Held { version, document }) => {
-                let author =
-                    Author { submission: document.submission, operator: document.operator };
-                self.envelope.earlier = document.earlier;
+            Read::Found(Held { version, value }) => {
+                let author = Author { submission: value.submission, operator: value.operator };
+                self.envelope.earlier = value.earlier;
                 self.envelope.earlier.insert(0, author.clone());
                 self.envelope.earlier.truncate(EARLIER_MAX);
-                self.base = Some(Held { version, document: author });
+                self.base = Some(Held { version, value: author });
                 Phase::Write
             }
         };
@@ -183,7 +170,7 @@
 
     /// What the document that was read back says about the write, if anything.
     fn settle(&self, found: &Held<Envelope>) -> Option<Settled> {
-        let Envelope { submission, operator, earlier, .. } = &found.document;
+        let Envelope { submission, operator, earlier, .. } = &found.value;
         if self.base.as_ref().is_some_and(|base| base.version == found.version) {
             return None;
         }
@@ -194,7 +181,7 @@
         }
         let winner = match &self.base {
             Some(base) => {
-                let base = line.iter().position(|author| **author == base.document);
+                let base = line.iter().position(|author| **author == base.value);
                 base.and_then(|base| base.checked_sub(1))
             }
             // A full list may have lost the first submission.
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::EntryId;
+use crate::object::Held;
 use crate::time::{Instant, Span};
 
 /// How long a fresh process waits for the store before it asks its peers too.
@@ -86,15 +87,6 @@
     Peer(EntryId),
 }
 
-/// A document with its version.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Held<D> {
-    /// The store's object version.
-    pub version: u64,
-    /// The document.
-    pub document: D,
-}
-
 /// One call that may be under way.
 #[derive(Debug, Clone, Copy)]
 enum Call {
@@ -204,7 +196,7 @@
             return;
         }
         self.note_seen(now, version);
-        let held = Held { version, document };
+        let held = Held { version, value: document };
         if self.current.is_some() || source == Source::Store {
             self.apply(held);
         } else {
--- a/crates/core/tests/explore/mod.rs
+++ b/crates/core/tests/explore/mod.rs
@@ -3,7 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses other parts")]
 
-use ebonypass_core::lease::Reply;
+use ebonypass_core::object::{Held, Read, Reply};
 use ebonypass_core::time::{Instant, Span};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, TestRunner};
@@ -41,11 +41,20 @@
     pub is_down: bool,
 }
 
-impl<V> Store<V> {
+impl<V: Clone> Store<V> {
     pub const fn new() -> Store<V> {
         Store { value: None, version: 0, is_down: false }
     }
 
+    /// Reads if the store is up.
+    pub fn get(&self) -> Read<V> {
+        match &self.value {
+            _ if self.is_down => Read::Silent,
+            Some(value) => Read::Found(Held { version: self.version, value: value.clone() }),
+            None => Read::Absent,
+        }
+    }
+
     /// Writes if the store is up and the condition holds.
     pub fn put(&mut self, if_version: u64, value: V) -> Reply {
         if self.is_down {
--- a/crates/core/tests/submission.rs
+++ b/crates/core/tests/submission.rs
@@ -2,12 +2,11 @@
 
 mod explore;
 
-use ebonypass_core::lease::Reply;
+use ebonypass_core::object::{Held, Read, Reply};
 use ebonypass_core::submission::{
-    Author, EARLIER_MAX, Envelope, Read, SETTLE_LIMIT, Settled, Step, Submission,
+    Author, EARLIER_MAX, Envelope, SETTLE_LIMIT, Settled, Step, Submission,
 };
 use ebonypass_core::time::{Instant, Span};
-use ebonypass_core::version::Held;
 use explore::{Store, Word, draw, explore};
 use test_case::test_case;
 
@@ -18,11 +17,11 @@
 }
 
 /// The document of the last name at `version`; the names before it are its predecessors.
-fn found(version: u64, names: &[&str]) -> Read {
+fn found(version: u64, names: &[&str]) -> Read<Envelope> {
     let mut line: Vec<Author> = names.iter().rev().map(|name| author(name)).collect();
     let Author { submission, operator } = line.remove(0);
-    let document = Envelope { submission, operator, text: String::new(), earlier: line };
-    Read::Found(Held { version, document })
+    let value = Envelope { submission, operator, text: String::new(), earlier: line };
+    Read::Found(Held { version, value })
 }
 
 /// Submission `c` that read `a`, `b` and wrote.
@@ -46,7 +45,7 @@
 #[test_case(found(90, &["y", "z"]), Step::Settled(Settled::Unknown); "base out of sight")]
 #[test_case(found(2, &["a", "b"]), Step::Wait(START + Span::from_millis(500)); "not decided yet")]
 #[test_case(Read::Silent, Step::Wait(START + Span::from_millis(500)); "store is down")]
-fn read_back(read: Read, step: Step) {
+fn read_back(read: Read<Envelope>, step: Step) {
     for reply in [Reply::Silent, Reply::Conflict(3)] {
         let mut submission = written(reply);
         assert_eq!(submission.next_step(START), Step::Read);
@@ -97,7 +96,7 @@
 enum Message {
     Read { operator: usize, call: u64 },
     Write { operator: usize, call: u64, if_version: u64, envelope: Envelope },
-    Found { operator: usize, call: u64, read: Read },
+    Found { operator: usize, call: u64, read: Read<Envelope> },
     Reply { operator: usize, call: u64, reply: Reply },
 }
 
@@ -198,13 +197,7 @@
     fn deliver(&mut self, message: Message) {
         match message {
             Message::Read { operator, call } => {
-                let read = match &self.store.value {
-                    _ if self.store.is_down => Read::Silent,
-                    Some(value) => {
-                        Read::Found(Held { version: self.store.version, document: value.clone() })
-                    }
-                    None => Read::Absent,
-                };
+                let read = self.store.get();
                 self.bag.push(Message::Found { operator, call, read });
             }
             Message::Write { operator, call, if_version, envelope } => {
--- a/crates/core/tests/version.rs
+++ b/crates/core/tests/version.rs
@@ -285,7 +285,7 @@
                 return Err(format!("process {number} ignored what it had seen: {applied:?}"));
             }
             let current = process.follower.current();
-            if current.is_some_and(|held| held.version != held.document) {
+            if current.is_some_and(|held| held.version != held.value) {
                 return Err(format!("process {number} mixed up {current:?}"));
             }
         }
