Add the operators' command line

Cause: operators need to check, compare, submit and drain without the console. Ruled out: editing the canonical text for drains, because operators' comments would be lost; a submission without a base version, because it would undo a change that came in while the text was edited. Change: check, diff, submit, status, drain, undrain, keys; a driver of submissions in the node library that the console can use too.

--- /dev/null
+++ b/crates/cli/src/check.rs
@@ -0,0 +1,60 @@
+//! `ebonypass check`.
+
+use std::path::Path;
+
+use ebonypass_core::fault::Fault;
+use ebonypass_core::scan::scan_document;
+
+use crate::Check;
+use crate::exit::{Exit, Failure};
+
+/// Lists the faults of a document.
+pub fn run(command: &Check) -> Result<Exit, Failure> {
+    let text = read(&command.file)?;
+    let faults = scan_document(&text).err().unwrap_or_default();
+    if command.json {
+        println!("{}", to_json(&faults));
+    } else if faults.is_empty() {
+        println!("{}: no fault", command.file.display());
+    } else {
+        print_faults(&command.file, &faults);
+    }
+    Ok(if faults.is_empty() { Exit::Done } else { Exit::Refused })
+}
+
+/// The text of a file.
+pub fn read(path: &Path) -> Result<String, Failure> {
+    std::fs::read_to_string(path).map_err(|error| Failure::file(path, error))
+}
+
+/// The text of a file that is a document without a fault; prints the faults otherwise.
+pub fn read_valid(path: &Path) -> Result<String, Failure> {
+    let text = read(path)?;
+    match scan_document(&text) {
+        Ok(_) => Ok(text),
+        Err(faults) => {
+            print_faults(path, &faults);
+            let message = format!("the document has {} fault(s) and was not used", faults.len());
+            Err(Failure::new(Exit::Refused, message))
+        }
+    }
+}
+
+/// Prints a fault a line, in the form that editors take for a place in a file.
+pub fn print_faults(path: &Path, faults: &[Fault]) {
+    for fault in faults {
+        eprintln!("{}:{}: {}", path.display(), fault.line, fault);
+    }
+}
+
+fn to_json(faults: &[Fault]) -> serde_json::Value {
+    let faults = faults.iter().map(|fault| {
+        serde_json::json!({
+            "line": fault.line,
+            "code": format!("EP-{:04}", fault.code.number()),
+            "message": fault.message,
+            "hint": fault.hint,
+        })
+    });
+    serde_json::json!({ "faults": faults.collect::<Vec<_>>() })
+}
--- /dev/null
+++ b/crates/cli/src/exit.rs
@@ -0,0 +1,68 @@
+//! Exit codes and failures of the commands.
+
+use std::fmt;
+use std::process::ExitCode;
+
+use ebonypass_node::store;
+
+/// How a command ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exit {
+    /// It did what it was asked to do.
+    Done = 0,
+    /// The document has faults, or the call was refused.
+    Refused = 1,
+    /// The arguments are wrong, or a file cannot be read.
+    Usage = 2,
+    /// Another operator's change came first.
+    Conflict = 3,
+    /// The store did not answer; nothing was written.
+    Unreachable = 4,
+    /// It is not known whether the write took effect.
+    Unknown = 5,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> ExitCode {
+        ExitCode::from(exit as u8)
+    }
+}
+
+/// A failure and the exit code that it leads to.
+#[derive(Debug)]
+pub struct Failure {
+    /// The exit code.
+    pub exit: Exit,
+    /// What is printed.
+    pub message: String,
+}
+
+impl Failure {
+    /// A failure with `message`.
+    pub fn new(exit: Exit, message: impl Into<String>) -> Failure {
+        Failure { exit, message: message.into() }
+    }
+
+    /// A file that cannot be read or written.
+    pub fn file(path: &std::path::Path, error: impl fmt::Display) -> Failure {
+        Failure::new(Exit::Usage, format!("{}: {error}", path.display()))
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.message)
+    }
+}
+
+impl From<store::Error> for Failure {
+    fn from(error: store::Error) -> Failure {
+        let exit = match error {
+            store::Error::Unreachable(_) => Exit::Unreachable,
+            store::Error::Uncertain(_) => Exit::Unknown,
+            store::Error::Conflict { .. } => Exit::Conflict,
+            _ => Exit::Refused,
+        };
+        Failure::new(exit, error.to_string())
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,2 +1,213 @@
-//! Placeholder until the program lands.
-fn main() {}
+//! `ebonypass`: the operators' command line.
+
+mod check;
+mod diff;
+mod drain;
+mod exit;
+mod keys;
+mod status;
+mod submit;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::{EarlyExit, FromArgs};
+use exit::Exit;
+
+/// Checks, submits and watches the policy of an ebonypass deployment. Exit codes: 0 done, 1 faults
+/// or refused, 2 usage, 3 conflict, 4 store not reachable, 5 not known whether the write took
+/// effect.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(Check),
+    Diff(Diff),
+    Submit(Submit),
+    Status(Status),
+    Drain(Drain),
+    Undrain(Undrain),
+    Keys(Keys),
+}
+
+/// list every fault of a policy document with its line, code and a hint
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// the document, TOML
+    #[argh(positional)]
+    file: PathBuf,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// show what a document would change in the policy in force
+#[derive(FromArgs)]
+#[argh(subcommand, name = "diff")]
+struct Diff {
+    /// the document, TOML
+    #[argh(positional)]
+    file: PathBuf,
+    /// address of the store, IP:PORT
+    #[argh(option)]
+    store: SocketAddr,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// put a document in force, if it has no fault and no other operator was faster
+#[derive(FromArgs)]
+#[argh(subcommand, name = "submit")]
+struct Submit {
+    /// the document, TOML
+    #[argh(positional)]
+    file: PathBuf,
+    /// address of the store, IP:PORT
+    #[argh(option)]
+    store: SocketAddr,
+    /// who submits it
+    #[argh(option)]
+    operator: String,
+    /// the version that the document was made from; refused if another one is in force
+    #[argh(option)]
+    base: Option<u64>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// show the policy in force, how many entries have which version, and what drains wait for
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+struct Status {
+    /// address of the store, IP:PORT
+    #[argh(option)]
+    store: SocketAddr,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// plan a time without new work for a data centre or a target
+#[derive(FromArgs)]
+#[argh(subcommand, name = "drain")]
+struct Drain {
+    /// name of the data centre or target
+    #[argh(positional)]
+    subject: String,
+    /// start: `now`, or as 2026-12-05T02:00:00Z
+    #[argh(option)]
+    from: String,
+    /// end, as 2026-12-05T03:00:00Z
+    #[argh(option)]
+    until: String,
+    /// address of the store, IP:PORT
+    #[argh(option)]
+    store: SocketAddr,
+    /// who submits it
+    #[argh(option)]
+    operator: String,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// remove every planned drain of a data centre or a target
+#[derive(FromArgs)]
+#[argh(subcommand, name = "undrain")]
+struct Undrain {
+    /// name of the data centre or target
+    #[argh(positional)]
+    subject: String,
+    /// address of the store, IP:PORT
+    #[argh(option)]
+    store: SocketAddr,
+    /// who submits it
+    #[argh(option)]
+    operator: String,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// make keys and certificates for the entries
+#[derive(FromArgs)]
+#[argh(subcommand, name = "keys")]
+struct Keys {
+    #[argh(subcommand)]
+    command: KeysCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum KeysCommand {
+    NewAuthority(NewAuthority),
+    Issue(Issue),
+}
+
+/// make a new authority: authority.pem and authority.key
+#[derive(FromArgs)]
+#[argh(subcommand, name = "new-authority")]
+struct NewAuthority {
+    /// folder for the files
+    #[argh(positional)]
+    folder: PathBuf,
+}
+
+/// issue a certificate for an entry: NAME.pem and NAME.key, valid for 90 days
+#[derive(FromArgs)]
+#[argh(subcommand, name = "issue")]
+struct Issue {
+    /// folder of the authority and for the files
+    #[argh(positional)]
+    folder: PathBuf,
+    /// name of the entry
+    #[argh(positional)]
+    name: String,
+}
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    match Arguments::from_args(&["ebonypass"], words.get(1..).unwrap_or_default()) {
+        Ok(arguments) => run(arguments.command).into(),
+        Err(EarlyExit { output, status: Ok(()) }) => {
+            println!("{output}");
+            Exit::Done.into()
+        }
+        Err(EarlyExit { output, status: Err(()) }) => {
+            eprintln!("{output}");
+            Exit::Usage.into()
+        }
+    }
+}
+
+/// Runs a command and prints why it failed.
+fn run(command: Command) -> Exit {
+    let result = smol::block_on(async {
+        match command {
+            Command::Check(command) => check::run(&command),
+            Command::Diff(command) => diff::run(&command).await,
+            Command::Submit(command) => submit::run(&command).await,
+            Command::Status(command) => status::run(&command).await,
+            Command::Drain(command) => drain::add(&command).await,
+            Command::Undrain(command) => drain::remove(&command).await,
+            Command::Keys(Keys { command: KeysCommand::NewAuthority(command) }) => {
+                keys::new_authority(&command)
+            }
+            Command::Keys(Keys { command: KeysCommand::Issue(command) }) => keys::issue(&command),
+        }
+    });
+    result.unwrap_or_else(|failure| {
+        eprintln!("ebonypass: {failure}");
+        failure.exit
+    })
+}
--- a/crates/core/src/scan.rs
+++ b/crates/core/src/scan.rs
@@ -83,6 +83,11 @@
     era * 146_097 + day_of_era - 719_468
 }
 
+/// Scans a date and time with an offset, as `2026-12-05T02:00:00Z`, into seconds of Unix time.
+pub fn scan_time(text: &str) -> Option<u64> {
+    text.parse().ok().as_ref().and_then(unix_seconds)
+}
+
 /// A table of the document together with the place where it starts.
 #[derive(Clone, Copy)]
 struct Place<'a> {
--- a/crates/core/src/submission.rs
+++ b/crates/core/src/submission.rs
@@ -95,6 +95,8 @@
 pub struct Submission {
     envelope: Envelope,
     base: Option<Held<Author>>,
+    /// The version that the operator's change was made from, if known.
+    expected: Option<u64>,
     phase: Phase,
 }
 
@@ -103,7 +105,13 @@
     pub fn new(author: Author, text: String) -> Submission {
         let Author { submission, operator } = author;
         let envelope = Envelope { submission, operator, text, earlier: Vec::new() };
-        Submission { envelope, base: None, phase: Phase::Start }
+        Submission { envelope, base: None, expected: None, phase: Phase::Start }
+    }
+
+    /// Refuses the change unless the store still holds `version`, from which it was made. Without
+    /// this an operator could undo another's change that came in while the text was edited.
+    pub fn with_base(self, version: u64) -> Submission {
+        Submission { expected: Some(version), ..self }
     }
 
     /// What to do at `now`.
@@ -157,6 +165,12 @@
         self.phase = match read {
             Read::Silent => Phase::Over(Settled::Unreachable),
             Read::Absent => Phase::Write,
+            Read::Found(Held { version, value })
+                if self.expected.is_some_and(|expected| expected != version) =>
+            {
+                let winner = Author { submission: value.submission, operator: value.operator };
+                Phase::Over(Settled::Refused { winner })
+            }
             Read::Found(Held { version, value }) => {
                 let author = Author { submission: value.submission, operator: value.operator };
                 self.envelope.earlier = value.earlier;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod settings;
 pub mod stop;
 pub mod store;
+pub mod submit;
 pub mod target;
 pub mod tls;
 pub mod trace;
--- /dev/null
+++ b/crates/node/src/submit.rs
@@ -0,0 +1,66 @@
+//! Carries a submission of a policy document through the store.
+
+use std::time::Instant as SystemInstant;
+
+use ebonypass_core::object::{Held, Read, Reply};
+use ebonypass_core::submission::{Author, Envelope, Settled, Step, Submission};
+use ebonypass_core::time::{Instant, Span};
+
+use crate::store::{Error, POLICY_KEY, Store};
+
+/// A new author entry for `operator`, with a submission id that no other submission has.
+pub fn new_author(operator: impl Into<String>) -> Author {
+    let submission = format!("{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..));
+    Author { submission, operator: operator.into() }
+}
+
+/// Reads the policy object.
+///
+/// Errors: those of the store; [`Error::Malformed`] if the value is not an envelope.
+pub async fn read_policy(store: &impl Store) -> Result<Held<Envelope>, Error> {
+    let object = store.get(POLICY_KEY).await?;
+    let value = serde_json::from_slice(&object.value)
+        .map_err(|error| Error::Malformed(error.to_string()))?;
+    Ok(Held { version: object.version, value })
+}
+
+/// Runs `submission` until it is settled. Takes at most about 30 s while the store is down.
+pub async fn submit(store: &impl Store, mut submission: Submission) -> Settled {
+    let start = SystemInstant::now();
+    let now = || Instant::from_micros(start.elapsed().as_micros() as u64);
+    loop {
+        match submission.next_step(now()) {
+            Step::Read => {
+                let read = read(store).await;
+                submission.note_read(now(), read);
+            }
+            Step::Write { if_version, envelope } => {
+                let reply = write(store, if_version, &envelope).await;
+                submission.note_write(now(), reply);
+            }
+            Step::Wait(at) => sleep(at.since(now())).await,
+            Step::Settled(settled) => return settled,
+        }
+    }
+}
+
+async fn read(store: &impl Store) -> Read<Envelope> {
+    match read_policy(store).await {
+        Ok(held) => Read::Found(held),
+        Err(Error::Absent) => Read::Absent,
+        Err(_) => Read::Silent,
+    }
+}
+
+async fn write(store: &impl Store, if_version: u64, envelope: &Envelope) -> Reply {
+    let Ok(value) = serde_json::to_vec(envelope) else { return Reply::Silent };
+    match store.put(POLICY_KEY, value, if_version).await {
+        Ok(version) => Reply::Written(version),
+        Err(Error::Conflict { current }) => Reply::Conflict(current),
+        Err(_) => Reply::Silent,
+    }
+}
+
+async fn sleep(span: Span) {
+    smol::Timer::after(std::time::Duration::from_micros(span.as_micros())).await;
+}
