--- a/crates/replay/src/agenda.rs
+++ b/crates/replay/src/agenda.rs
@@ -52,8 +52,13 @@
         self.added += 1;
     }
 
+    /// When the next event is.
+    pub fn next_at(&self) -> Option<Instant> {
+        self.heap.peek().map(|Reverse(entry)| entry.at)
+    }
+
     /// Takes the next event.
-    pub fn next(&mut self) -> Option<(Instant, E)> {
+    pub fn take(&mut self) -> Option<(Instant, E)> {
         self.heap.pop().map(|Reverse(entry)| (entry.at, entry.event))
     }
 }
--- /dev/null
+++ b/crates/replay/src/goal.rs
@@ -0,0 +1,1 @@
+//! Stated outcomes.
--- a/crates/replay/src/link.rs
+++ b/crates/replay/src/link.rs
@@ -2,8 +2,8 @@
 
 use std::collections::VecDeque;
 
-use ebonypass_core::policy::{Document, Link};
 use ebonypass_core::id::RegionId;
+use ebonypass_core::policy::{Document, Link};
 use ebonypass_core::time::{Instant, Span};
 
 /// The window over which a cap holds.
@@ -38,8 +38,8 @@
     pub cap: Window,
     /// Use over a longer time.
     pub sustained: Window,
-    /// Bytes sent in each [`CAP_WINDOW`] from the start, for plots.
-    pub series: Vec<u64>,
+    /// Bytes sent in each [`CAP_WINDOW`] from the start.
+    series: Vec<u64>,
 }
 
 /// A token bucket that tells when a piece may be sent.
@@ -117,6 +117,11 @@
         }
     }
 
+    /// Use of each [`CAP_WINDOW`] from the start as a fraction of the cap.
+    pub fn fractions(&self) -> Vec<f64> {
+        self.series.iter().map(|&bytes| bytes as f64 / self.cap.limit).collect()
+    }
+
     fn send_paced(&mut self, now: Instant, bytes: u64) -> Instant {
         let mut left = bytes;
         let mut at = now;
--- /dev/null
+++ b/crates/replay/src/tally.rs
@@ -0,0 +1,288 @@
+//! What a run counts: latencies, outcomes, use of slots, broken promises.
+
+use std::collections::BTreeMap;
+
+use ebonypass_core::id::{Arena, Key, KindId, MemberId, ServiceId, TargetId};
+use ebonypass_core::outcome::Outcome;
+use ebonypass_core::policy::Document;
+use ebonypass_core::time::Instant;
+use hdrhistogram::Histogram;
+
+use crate::link::Links;
+use crate::server::Server;
+use crate::trace::{Arrival, Trace};
+
+/// Significant decimal digits of a histogram.
+const DIGITS: u8 = 3;
+
+/// Promises that were broken, counted by the model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Checks {
+    /// Dispatches of a non-idempotent request while an earlier one may have run.
+    pub duplicate_dispatches: u64,
+    /// Requests that ran although their client was told "not run".
+    pub wrong_not_run: u64,
+    /// Requests whose client was told "answered" without a complete answer at the entry.
+    pub wrong_answered: u64,
+    /// Dispatches to a target more than 5 s after its leave.
+    pub dispatched_to_leaving: u64,
+    /// Attempts from another region that made a region's targets hold more attempts than slots.
+    pub region_overloads: u64,
+}
+
+/// Counts of one flow.
+#[derive(Debug, Clone)]
+pub struct Counts {
+    /// Requests sent by clients.
+    pub arrivals: u64,
+    /// Complete answers, late ones included.
+    pub answered: u64,
+    /// Complete answers after the deadline.
+    pub late: u64,
+    /// Requests refused without running.
+    pub not_run: u64,
+    /// Requests that may have run, without a complete answer.
+    pub unknown: u64,
+    /// Dispatches to targets.
+    pub dispatches: u64,
+    /// Dispatches while an earlier one of the same request was open.
+    pub hedges: u64,
+    /// Slot time of answers in time, in microseconds, up to the end of the trace.
+    pub useful_us: u64,
+    /// Time until the client learns "answered" or "unknown", in microseconds.
+    pub latency: Histogram<u64>,
+    /// Time until the client learns "not run", in microseconds.
+    pub refusal: Histogram<u64>,
+}
+
+/// Use of a link.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LinkTally {
+    /// The sending region's name.
+    pub from: String,
+    /// The receiving region's name.
+    pub to: String,
+    /// The highest use over any 100 ms as a fraction of the cap.
+    pub highest: f64,
+    /// The highest use over any second as a fraction of the cap.
+    pub sustained: f64,
+    /// Pieces that made the use over 100 ms exceed the cap.
+    pub violations: u64,
+    /// Use of each 100 ms from the start as a fraction of the cap.
+    pub series: Vec<f64>,
+}
+
+/// Use of a service's slots.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceTally {
+    /// The service's name.
+    pub name: String,
+    /// Slots of all its targets.
+    pub slots: u32,
+    /// Slot time used up to the end of the trace, in microseconds.
+    pub busy_us: u64,
+    /// Slots in use every 100 ms from the start.
+    pub series: Vec<u32>,
+}
+
+/// Everything that a run counts.
+#[derive(Debug, Clone)]
+pub struct Tally {
+    /// Counts by flow.
+    pub flows: BTreeMap<(MemberId, KindId), Counts>,
+    /// Use by service.
+    pub services: Arena<ServiceId, ServiceTally>,
+    /// Use by link.
+    pub links: Vec<LinkTally>,
+    /// Broken promises.
+    pub checks: Checks,
+    /// Requests whose client was told nothing before the run stopped.
+    pub open: u64,
+    /// The time over which utilisation is taken.
+    pub end: Instant,
+}
+
+impl Counts {
+    fn new() -> Counts {
+        Counts {
+            arrivals: 0,
+            answered: 0,
+            late: 0,
+            not_run: 0,
+            unknown: 0,
+            dispatches: 0,
+            hedges: 0,
+            useful_us: 0,
+            latency: new_histogram(),
+            refusal: new_histogram(),
+        }
+    }
+
+    /// Answers in time.
+    pub fn in_time(&self) -> u64 {
+        self.answered - self.late
+    }
+
+    /// Adds another flow's counts.
+    pub fn add(&mut self, other: &Counts) {
+        self.arrivals += other.arrivals;
+        self.answered += other.answered;
+        self.late += other.late;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.dispatches += other.dispatches;
+        self.hedges += other.hedges;
+        self.useful_us += other.useful_us;
+        self.latency.add(&other.latency).expect("a resizing histogram takes any value");
+        self.refusal.add(&other.refusal).expect("a resizing histogram takes any value");
+    }
+}
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new(DIGITS).expect("the number of digits is valid")
+}
+
+impl Tally {
+    /// Nothing counted yet.
+    pub fn new(document: &Document, trace: &Trace) -> Tally {
+        let mut services = Arena::new();
+        for (key, service) in document.services.iter() {
+            let slots = document.targets.values().filter(|target| target.service == key);
+            services.push(ServiceTally {
+                name: service.name.clone(),
+                slots: slots.map(|target| target.slots).sum(),
+                busy_us: 0,
+                series: Vec::new(),
+            });
+        }
+        Tally {
+            flows: BTreeMap::new(),
+            services,
+            links: Vec::new(),
+            checks: Checks::default(),
+            open: 0,
+            end: trace.end(),
+        }
+    }
+
+    /// Counts of the flows that `matches`.
+    pub fn sum(&self, matches: impl Fn(MemberId, KindId) -> bool) -> Counts {
+        let mut sum = Counts::new();
+        for (&(member, kind), counts) in &self.flows {
+            if matches(member, kind) {
+                sum.add(counts);
+            }
+        }
+        sum
+    }
+
+    /// Counts of all flows.
+    pub fn total(&self) -> Counts {
+        self.sum(|_, _| true)
+    }
+
+    /// Sends that broke a link's cap.
+    pub fn link_cap_violations(&self) -> u64 {
+        self.links.iter().map(|link| link.violations).sum()
+    }
+
+    /// Part of a service's slot time that was used up to the end of the trace.
+    pub fn utilisation(&self, service: ServiceId) -> f64 {
+        let tally = &self.services[service];
+        ratio(tally.busy_us, u64::from(tally.slots) * self.end.as_micros())
+    }
+
+    /// Part of a service's slot time that went into answers in time.
+    pub fn goodput(&self, document: &Document, service: ServiceId) -> f64 {
+        let counts = self.sum(|_, kind| document.kinds[kind].service == service);
+        let slots = u64::from(self.services[service].slots);
+        ratio(counts.useful_us, slots * self.end.as_micros())
+    }
+
+    fn counts(&mut self, arrival: &Arrival) -> &mut Counts {
+        self.flows.entry((arrival.member, arrival.kind)).or_insert_with(Counts::new)
+    }
+
+    pub(crate) fn arrived(&mut self, arrival: &Arrival) {
+        self.counts(arrival).arrivals += 1;
+    }
+
+    pub(crate) fn dispatched(&mut self, arrival: &Arrival, is_hedge: bool) {
+        let counts = self.counts(arrival);
+        counts.dispatches += 1;
+        counts.hedges += u64::from(is_hedge);
+    }
+
+    /// Counts a reply that reaches the client at `at`; `used` is the time in the slot.
+    pub(crate) fn told(
+        &mut self,
+        arrival: &Arrival,
+        outcome: Outcome,
+        at: Instant,
+        used: Option<(Instant, Instant)>,
+    ) {
+        let end = self.end;
+        let counts = self.counts(arrival);
+        let latency = at.since(arrival.at).as_micros();
+        let histogram = match outcome {
+            Outcome::Answered | Outcome::Unknown => &mut counts.latency,
+            Outcome::NotRun => &mut counts.refusal,
+        };
+        histogram.record(latency).expect("a resizing histogram takes any value");
+        match outcome {
+            Outcome::Answered if at > arrival.deadline => {
+                counts.answered += 1;
+                counts.late += 1;
+            }
+            Outcome::Answered => {
+                counts.answered += 1;
+                if let Some((started, ended)) = used {
+                    counts.useful_us += ended.min(end).since(started).as_micros();
+                }
+            }
+            Outcome::NotRun => counts.not_run += 1,
+            Outcome::Unknown => counts.unknown += 1,
+        }
+    }
+
+    pub(crate) fn sampled(&mut self, document: &Document, servers: &Arena<TargetId, Server>) {
+        let mut busy = vec![0; self.services.len()];
+        for (key, server) in servers.iter() {
+            busy[document.targets[key].service.index()] += server.busy();
+        }
+        for (index, busy) in busy.into_iter().enumerate() {
+            self.services[ServiceId::from_index(index)].series.push(busy);
+        }
+    }
+
+    pub(crate) fn used(&mut self, service: ServiceId, busy_us: u64) {
+        self.services[service].busy_us += busy_us;
+    }
+
+    pub(crate) fn close(
+        &mut self,
+        document: &Document,
+        links: &Links,
+        checks: Checks,
+        open: usize,
+    ) {
+        self.checks = checks;
+        self.open = open as u64;
+        self.links = links
+            .iter()
+            .map(|line| LinkTally {
+                from: document.regions[line.spec.from].name.clone(),
+                to: document.regions[line.spec.to].name.clone(),
+                highest: line.cap.highest(),
+                sustained: line.sustained.highest(),
+                violations: line.cap.violations,
+                series: line.fractions(),
+            })
+            .collect();
+    }
+}
+
+/// `part` of `whole`, 0 of nothing.
+pub fn ratio(part: u64, whole: u64) -> f64 {
+    if whole == 0 { 0.0 } else { part as f64 / whole as f64 }
+}
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -294,10 +294,17 @@
         line: &Line,
     ) -> Result<(Option<Arrival>, Option<Incident>), String> {
         match line {
-            Line { arrive: Some(arrive), slow: None, leave: None, fail: None, silence: None, .. } => {
-                Ok((Some(self.arrival(at, arrive)?), None))
-            }
-            Line { arrive: None, slow: Some(slow), leave: None, fail: None, silence: None, .. } => {
+            Line {
+                arrive: Some(arrive),
+                slow: None,
+                leave: None,
+                fail: None,
+                silence: None,
+                ..
+            } => Ok((Some(self.arrival(at, arrive)?), None)),
+            Line {
+                arrive: None, slow: Some(slow), leave: None, fail: None, silence: None, ..
+            } => {
                 if !(slow.factor.is_finite() && slow.factor > 0.0) {
                     return Err(format!("factor {} is not a positive number", slow.factor));
                 }
@@ -305,15 +312,29 @@
                 let lasting = Span::from_micros(slow.for_us);
                 Ok((None, Some(Incident::Slow { target, factor: slow.factor, lasting })))
             }
-            Line { arrive: None, slow: None, leave: Some(leave), fail: None, silence: None, .. } => {
-                Ok((None, Some(Incident::Leave(self.target(&leave.target)?))))
-            }
-            Line { arrive: None, slow: None, leave: None, fail: Some(fail), silence: None, .. } => {
+            Line {
+                arrive: None,
+                slow: None,
+                leave: Some(leave),
+                fail: None,
+                silence: None,
+                ..
+            } => Ok((None, Some(Incident::Leave(self.target(&leave.target)?)))),
+            Line {
+                arrive: None, slow: None, leave: None, fail: Some(fail), silence: None, ..
+            } => {
                 let centre = self.centre(&fail.dc)?;
                 let lasting = Span::from_micros(fail.for_us);
                 Ok((None, Some(Incident::Fail { centre, lasting })))
             }
-            Line { arrive: None, slow: None, leave: None, fail: None, silence: Some(silence), .. } => {
+            Line {
+                arrive: None,
+                slow: None,
+                leave: None,
+                fail: None,
+                silence: Some(silence),
+                ..
+            } => {
                 let lasting = Span::from_micros(silence.for_us);
                 Ok((None, Some(Incident::Silence { source: silence.source, lasting })))
             }
