Measure the stated outcomes of the replay next to both baselines

Ruled out: a test file, which in an unoptimised build runs for minutes. Ruled out: splitting free slots evenly in credits; the pool of a region that nobody else needs then keeps half of them unused.

Credit of a pool follows what each region holds there.

--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -1,11 +1,13 @@
 //! `ebonypass-replay`: replays a trace and reports what came of it.
 
 use std::path::{Path, PathBuf};
+use std::process::ExitCode;
 
 use anyhow::{Context, bail};
 use argh::FromArgs;
 use ebonypass_core::policy::Document;
 use ebonypass_core::scan::scan_document;
+use ebonypass_replay::goal::{check_goals, heading};
 use ebonypass_replay::model::run_strategy;
 use ebonypass_replay::report::Report;
 use ebonypass_replay::trace::{Trace, open_trace, scan_trace};
@@ -15,10 +17,17 @@
 struct Options {
     /// policy document
     #[argh(option)]
-    policy: PathBuf,
+    policy: Option<PathBuf>,
     /// ebonypass, round-robin, least-loaded or independent
-    #[argh(option)]
+    #[argh(option, default = "\"ebonypass\".to_owned()")]
     strategy: String,
+    /// measure every stated outcome on the recorded traces in this directory and on all scenarios;
+    /// the exit code is 1 if one is not met
+    #[argh(option)]
+    check: Option<PathBuf>,
+    /// seed of the scenarios for --check (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
     /// leave out the requests of this kind
     #[argh(option)]
     without_kind: Option<String>,
@@ -30,13 +39,19 @@
     json: bool,
     /// trace file, plain or .gz
     #[argh(positional)]
-    trace: PathBuf,
+    trace: Option<PathBuf>,
 }
 
-fn main() -> anyhow::Result<()> {
+fn main() -> anyhow::Result<ExitCode> {
     let options: Options = argh::from_env();
-    let document = read_policy(&options.policy)?;
-    let trace = read_trace(&document, &options)?;
+    if let Some(directory) = &options.check {
+        return check(directory, options.seed);
+    }
+    let (Some(policy), Some(trace)) = (&options.policy, &options.trace) else {
+        bail!("--policy and a trace, or --check, must be given; see --help");
+    };
+    let document = read_policy(policy)?;
+    let trace = read_trace(&document, trace, &options)?;
     let tally = run_strategy(&document, &trace, &options.strategy)?;
     let report = Report::new(&document, &options.strategy, &tally);
     if options.json {
@@ -44,7 +59,18 @@
     } else {
         print!("{report}");
     }
-    Ok(())
+    Ok(ExitCode::SUCCESS)
+}
+
+fn check(directory: &Path, seed: u64) -> anyhow::Result<ExitCode> {
+    let goals = check_goals(directory, seed)?;
+    println!("{}", heading());
+    for goal in &goals {
+        println!("{goal}");
+    }
+    let missed = goals.iter().filter(|goal| !goal.is_met).count();
+    println!("{} stated outcomes met, {missed} not met", goals.len() - missed);
+    Ok(if missed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 fn read_policy(path: &Path) -> anyhow::Result<Document> {
@@ -59,12 +85,12 @@
     }
 }
 
-fn read_trace(document: &Document, options: &Options) -> anyhow::Result<Trace> {
-    let mut trace = match scan_trace(document, open_trace(&options.trace)?) {
+fn read_trace(document: &Document, path: &Path, options: &Options) -> anyhow::Result<Trace> {
+    let mut trace = match scan_trace(document, open_trace(path)?) {
         Ok(trace) => trace,
         Err(bad) => {
             let lines: Vec<String> = bad.iter().take(20).map(ToString::to_string).collect();
-            bail!("{} has {} bad lines:\n{}", options.trace.display(), bad.len(), lines.join("\n"))
+            bail!("{} has {} bad lines:\n{}", path.display(), bad.len(), lines.join("\n"))
         }
     };
     if let Some(kind) = &options.without_kind {
--- a/crates/replay/src/steer.rs
+++ b/crates/replay/src/steer.rs
@@ -320,10 +320,15 @@
             .iter()
             .filter_map(|(other, _)| Some((other, self.delay(region, other)?)))
             .collect();
+        // A region that uses its credit gets more of the free slots than one that does not.
+        let held = |other: RegionId| self.posts[post].foreign[other.index()];
+        let weights: usize = others.iter().map(|&(other, _)| held(other) as usize + 1).sum();
+        let share = |other: RegionId| free * (held(other) as usize + 1) / weights;
+        let rest = free - others.iter().map(|&(other, _)| share(other)).sum::<usize>();
         for (index, &(other, delay)) in others.iter().enumerate() {
-            let held = self.posts[post].foreign[other.index()];
-            // The remainder goes to each region in turn.
-            let share = (free + (index + self.ticks) % others.len()) / others.len();
+            let is_turn = index == self.ticks % others.len();
+            let share = share(other) + if is_turn { rest } else { 0 };
+            let held = held(other);
             let backlog = links.backlog(now, region, other);
             let count = if backlog > BACKLOG_STOP {
                 0
