Serve look-ups and requests through one entry

Cause: callers, stand-ins and the demo need a running entry. Ruled out: the HTTP client's own connection pool for targets (it writes a request again to the next pooled connection when a write fails, and does not tell whether a byte was written). Change: ebonypass-entry loads the policy from the store, follows the VM list and load reports, answers /v1/lookup, drives ebonypass_core::pool for /v1/run, serves /metrics and /health, and stops gracefully on SIGTERM. Connections to targets are counted in node::connection.

--- /dev/null
+++ b/crates/entry/src/gauge.rs
@@ -0,0 +1,97 @@
+//! The metrics of an entry. docs/metrics.md lists them.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BOUNDS: [f64; 12] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0, 30.0];
+
+/// What a reply to a caller said.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ReplyLabels {
+    /// `answered`, `not-run` or `unknown`.
+    pub(crate) outcome: &'static str,
+    /// The number of the code, 0 for `answered`.
+    pub(crate) code: u16,
+}
+
+/// The service of a figure.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ServiceLabels {
+    /// The service.
+    pub(crate) service: String,
+}
+
+/// What became of an attempt.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct AttemptLabels {
+    /// `answered`, `shed`, `unsent` or `lost`.
+    pub(crate) report: &'static str,
+}
+
+/// Which limit ended a connection or a request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct LimitLabels {
+    /// `callers`, `head`, `idle`, `body` or `held`.
+    pub(crate) limit: &'static str,
+}
+
+/// The metrics of an entry.
+#[derive(Debug, Clone)]
+pub(crate) struct Gauges {
+    pub(crate) lookups: Counter,
+    pub(crate) replies: Family<ReplyLabels, Counter>,
+    pub(crate) attempts: Family<AttemptLabels, Counter>,
+    pub(crate) hedges: Counter,
+    pub(crate) cancels: Counter,
+    pub(crate) latency: Family<ServiceLabels, Histogram, fn() -> Histogram>,
+    pub(crate) free_slots: Family<ServiceLabels, Gauge>,
+    pub(crate) policy_version: Gauge,
+    pub(crate) store_failures: Counter,
+    pub(crate) in_flight: Gauge,
+    pub(crate) limited: Family<LimitLabels, Counter>,
+}
+
+impl Gauges {
+    /// Registers the metrics.
+    pub(crate) fn new(registry: &mut Registry) -> Gauges {
+        let latency = Family::new_with_constructor(new_latency as fn() -> Histogram);
+        let gauges = Gauges {
+            lookups: Counter::default(),
+            replies: Family::default(),
+            attempts: Family::default(),
+            hedges: Counter::default(),
+            cancels: Counter::default(),
+            latency,
+            free_slots: Family::default(),
+            policy_version: Gauge::default(),
+            store_failures: Counter::default(),
+            in_flight: Gauge::default(),
+            limited: Family::default(),
+        };
+        let g = &gauges;
+        let mut at = registry.sub_registry_with_prefix("ebonypass");
+        let r = &mut at;
+        r.register("lookups", "Look-ups answered", g.lookups.clone());
+        r.register("replies", "Replies to callers by outcome and code", g.replies.clone());
+        r.register("attempts", "Attempts at targets by what became of them", g.attempts.clone());
+        r.register("hedges", "Second attempts of idempotent work", g.hedges.clone());
+        r.register("cancels", "Attempts cancelled", g.cancels.clone());
+        r.register("latency_seconds", "Time to reply to callers", g.latency.clone());
+        r.register("free_slots", "Free slots of the own pools", g.free_slots.clone());
+        r.register("policy_version", "Version of the policy in force", g.policy_version.clone());
+        r.register("store_failures", "Calls to the store that failed", g.store_failures.clone());
+        r.register("in_flight", "Callers' requests in flight", g.in_flight.clone());
+        r.register("limited", "Connections and requests ended by a limit", g.limited.clone());
+        gauges
+    }
+}
+
+fn new_latency() -> Histogram {
+    Histogram::new(LATENCY_BOUNDS)
+}
--- /dev/null
+++ b/crates/entry/src/lookup.rs
@@ -0,0 +1,102 @@
+//! Answers `GET /v1/lookup`.
+
+use std::sync::Arc;
+
+use ebonypass_core::outcome::Reason;
+use ebonypass_node::clock;
+use ebonypass_node::store::{Life, Role, Store, Vm};
+use ebonypass_node::target::Target;
+use serde::Serialize;
+use trillium::{Conn, Handler, Status};
+
+use crate::reply::refuse;
+use crate::state::Entry;
+use crate::view::scan_block;
+
+/// How long callers may use an answer.
+const TTL_MS: u64 = 5_000;
+
+/// Entries in an answer. A caller needs some to fall back on.
+const MAX_ENTRIES: usize = 4;
+
+/// The body of an answer.
+#[derive(Debug, Serialize)]
+struct Answer<'a> {
+    version: u64,
+    ttl_ms: u64,
+    arbiter: String,
+    entries: Vec<Place<'a>>,
+}
+
+#[derive(Debug, Serialize)]
+struct Place<'a> {
+    name: &'a str,
+    data_centre: &'a str,
+    address: std::net::SocketAddr,
+}
+
+/// The handler of `/v1/lookup`.
+pub(crate) struct Lookup<S, T: Target>(pub(crate) Arc<Entry<S, T>>);
+
+impl<S: Store, T: Target> Handler for Lookup<S, T> {
+    async fn run(&self, conn: Conn) -> Conn {
+        match self.answer(conn.querystring()) {
+            Ok(body) => {
+                self.0.gauges.lookups.inc();
+                conn.with_response_header("content-type", "application/json").ok(body)
+            }
+            Err(reason) => refuse(conn, &self.0.gauges, lookup_status(reason), reason),
+        }
+    }
+}
+
+impl<S: Store, T: Target> Lookup<S, T> {
+    fn answer(&self, query: &str) -> Result<String, Reason> {
+        let entry = &self.0;
+        let view = entry.view()?;
+        let member = scan_field(query, "member").ok_or(Reason::UnknownMember)?;
+        let service = scan_field(query, "service").ok_or(Reason::UnknownService)?;
+        let block = scan_field(query, "block").and_then(scan_block).ok_or(Reason::UnknownBlock)?;
+        view.check_member(member, service)?;
+        let centre = view.centre(block)?;
+        let region = view.document.region_of(centre);
+        let vms = entry.vms.load();
+        let live = |vm: &&Vm| vm.role == Role::Entry && vm.state == Life::Live;
+        let mut places: Vec<&Vm> = vms.iter().filter(live).collect();
+        if entry.is_leaving() {
+            places.retain(|vm| vm.name != entry.settings.name);
+        }
+        let near = |vm: &&Vm| view.region_of(&vm.data_centre) == Some(region);
+        if places.iter().any(near) {
+            places.retain(near);
+        }
+        let own_centre = &view.document.centres[centre].name;
+        places.sort_by_key(|vm| (vm.data_centre != *own_centre, vm.name != entry.settings.name));
+        places.truncate(MAX_ENTRIES);
+        let issued = clock::now().as_micros() / 1_000_000;
+        let answer = Answer {
+            version: view.version,
+            ttl_ms: TTL_MS,
+            arbiter: format!("{}.{}.{issued}", entry.settings.name, entry.incarnation),
+            entries: places.into_iter().map(place).collect(),
+        };
+        serde_json::to_string(&answer).map_err(|_| Reason::NoOwner)
+    }
+}
+
+fn place(vm: &Vm) -> Place<'_> {
+    Place { name: &vm.name, data_centre: &vm.data_centre, address: vm.address }
+}
+
+fn lookup_status(reason: Reason) -> Status {
+    match reason {
+        Reason::UnknownService | Reason::UnknownMember | Reason::UnknownBlock => Status::NotFound,
+        Reason::MemberNotAllowed => Status::NotFound,
+        _ => Status::ServiceUnavailable,
+    }
+}
+
+/// The value of `name` in a query string. Names and blocks need no escapes but `%2F`.
+fn scan_field<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query.split('&').find_map(|field| field.strip_prefix(name)?.strip_prefix('='))
+}
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,2 +1,55 @@
-//! Placeholder until the program lands.
-fn main() {}
+//! `ebonypass-entry`: answers look-ups and forwards requests.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use ebonypass_entry::Server;
+use ebonypass_entry::settings::Settings;
+use ebonypass_node::event::{self, Event, note};
+use ebonypass_node::{settings, stop};
+
+/// Answers look-ups of callers, queues their requests and forwards them to targets.
+#[derive(FromArgs)]
+struct Arguments {
+    /// settings file (TOML); entry.example.toml documents it
+    #[argh(positional)]
+    settings: PathBuf,
+
+    /// check the settings and end
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let settings: Settings = match settings::load(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(fault) => {
+            eprintln!("ebonypass-entry: {fault}");
+            return ExitCode::from(2);
+        }
+    };
+    if arguments.check {
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            note(Event::Fatal, &error);
+            eprintln!("ebonypass-entry: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(settings: Settings) -> anyhow::Result<()> {
+    event::start(settings.log.filter(), settings.log.file.as_deref())?;
+    smol::block_on(async {
+        let signal = smol::spawn(stop::signalled());
+        let server = Server::start(settings)?;
+        signal.await?;
+        server.stop().await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,145 @@
+//! Starts and stops the parts of an entry.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use ebonypass_node::event::{Event, note};
+use ebonypass_node::metric::Page;
+use ebonypass_node::{store, target};
+use prometheus_client::registry::Registry;
+use smol::Timer;
+use trillium::{Conn, Handler, HttpConfig, Status};
+use trillium_router::Router;
+use trillium_server_common::ServerHandle;
+
+use crate::gauge::Gauges;
+use crate::lookup::Lookup;
+use crate::run::Run;
+use crate::settings::Settings;
+use crate::state::Entry;
+use crate::tasks;
+
+/// Time between two looks at the work in flight of a stopping process.
+const STOP_INTERVAL: Duration = Duration::from_millis(20);
+
+type State = Entry<store::Http, target::Http>;
+
+/// A running entry.
+pub struct Server {
+    entry: Arc<State>,
+    callers: ServerHandle,
+    admin: ServerHandle,
+    caller_address: SocketAddr,
+    admin_address: SocketAddr,
+    tasks: Vec<smol::Task<()>>,
+}
+
+impl Server {
+    /// Binds the sockets of `settings` and serves.
+    ///
+    /// Errors: an address cannot be bound.
+    pub fn start(settings: Settings) -> io::Result<Server> {
+        let mut registry = Registry::default();
+        let gauges = Gauges::new(&mut registry);
+        let store = store::Http::new(settings.store);
+        let entry = Arc::new(Entry::new(settings, store, target::Http::new(), gauges));
+        let (settings, limits) = (&entry.settings, &entry.settings.limits);
+        let config = HttpConfig::default()
+            .with_head_max_len(limits.head_bytes)
+            .with_received_body_max_len(limits.body_bytes as u64);
+        let router = Router::new()
+            .get("/v1/lookup", Lookup(entry.clone()))
+            .post("/v1/run/:service/:kind", Run(entry.clone()));
+        let (callers, caller_address) = serve(settings.caller_listen, config, router)?;
+        let health = {
+            let entry = entry.clone();
+            move |conn: Conn| {
+                let entry = entry.clone();
+                async move { health(&entry, conn) }
+            }
+        };
+        let router = Router::new().get("/metrics", Page::new(registry)).get("/health", health);
+        let (admin, admin_address) = serve(settings.admin_listen, HttpConfig::default(), router)?;
+        let tasks = vec![
+            smol::spawn(tasks::watch_policy(entry.clone())),
+            smol::spawn(tasks::poll_vms(entry.clone())),
+            smol::spawn(tasks::poll_loads(entry.clone())),
+        ];
+        note(Event::Started, format_args!("{} callers {caller_address}", entry.settings.name));
+        Ok(Server { entry, callers, admin, caller_address, admin_address, tasks })
+    }
+
+    /// Where callers connect.
+    pub const fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Where operators find metrics and health.
+    pub const fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Stops without cutting off a request: look-ups stop naming this entry, callers are given the
+    /// time for which they may cache a look-up, and work in flight ends.
+    pub async fn stop(self) {
+        let limits = self.entry.settings.limits;
+        note(Event::Stopping, &self.entry.settings.name);
+        self.entry.leaving.store(true, Ordering::Relaxed);
+        Timer::after(Duration::from_millis(limits.leave_ms)).await;
+        let start = Instant::now();
+        let limit = Duration::from_millis(limits.stop_ms);
+        let callers = self.callers.shut_down();
+        while self.in_flight() > 0 && start.elapsed() < limit {
+            Timer::after(STOP_INTERVAL).await;
+        }
+        let rest = limit.saturating_sub(start.elapsed()).max(STOP_INTERVAL);
+        let timer = async {
+            Timer::after(rest).await;
+            note(Event::StopTimeout, format_args!("{} in flight", self.in_flight()));
+        };
+        futures_lite::future::or(callers, timer).await;
+        for task in self.tasks {
+            task.cancel().await;
+        }
+        self.admin.shut_down().await;
+        note(Event::Stopped, &self.entry.settings.name);
+    }
+
+    fn in_flight(&self) -> usize {
+        let queued: usize = self.entry.pools().iter().map(|(_, driver)| driver.len()).sum();
+        queued + usize::try_from(self.entry.gauges.in_flight.get()).unwrap_or(0)
+    }
+}
+
+fn serve(
+    address: SocketAddr,
+    config: HttpConfig,
+    handler: impl Handler,
+) -> io::Result<(ServerHandle, SocketAddr)> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let listener = smol::net::TcpListener::try_from(listener)?;
+    let handle = trillium_smol::config()
+        .without_signals()
+        .with_nodelay()
+        .with_http_config(config)
+        .with_prebound_server(listener)
+        .spawn(handler);
+    Ok((handle, address))
+}
+
+fn health(entry: &State, conn: Conn) -> Conn {
+    match entry.view() {
+        _ if entry.is_leaving() => {
+            conn.with_status(Status::ServiceUnavailable).with_body("leaving\n")
+        }
+        Ok(_) => conn.ok("ok\n"),
+        Err(reason) => {
+            conn.with_status(Status::ServiceUnavailable).with_body(format!("{reason}\n"))
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/fake/mod.rs
@@ -0,0 +1,434 @@
+//! A fake platform on loopback: a store with a VM list, targets, and a caller.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use ebonypass_entry::Server;
+use ebonypass_entry::settings::Settings;
+use ebonypass_node::settings;
+use ebonypass_node::tls::{self, Pair};
+use serde_json::{Value, json};
+
+/// A policy with two regions, one service and both sorts of kinds.
+pub const POLICY: &str = include_str!("policy.toml");
+
+/// One HTTP request as a fake server reads it.
+#[derive(Debug, Clone)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+/// Reads requests of one connection and answers each with the bytes of `answer`; none closes it.
+fn serve(
+    listener: TcpListener,
+    answer: impl Fn(Request) -> Option<Vec<u8>> + Send + Sync + 'static,
+) {
+    let answer = Arc::new(answer);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { continue };
+            let answer = answer.clone();
+            thread::spawn(move || {
+                while let Some(request) = read_request(&mut stream) {
+                    let Some(bytes) = answer(request) else { return };
+                    if stream.write_all(&bytes).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+}
+
+fn read_request(stream: &mut TcpStream) -> Option<Request> {
+    let (line, headers, body) = read_message(stream)?;
+    let mut words = line.split(' ');
+    let (method, path) = (words.next()?.to_owned(), words.next()?.to_owned());
+    Some(Request { method, path, headers, body })
+}
+
+/// Reads one message with a length: first line, headers with lower-case names, body.
+fn read_message(stream: &mut TcpStream) -> Option<(String, BTreeMap<String, String>, Vec<u8>)> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).ok()?;
+    let mut lines = head.lines();
+    let line = lines.next()?.to_owned();
+    let fields = lines.filter_map(|line| line.split_once(": "));
+    let headers: BTreeMap<String, String> =
+        fields.map(|(name, value)| (name.to_lowercase(), value.to_owned())).collect();
+    let length = headers.get("content-length").map_or(0, |text| text.parse().expect("length"));
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some((line, headers, body))
+}
+
+/// A whole reply.
+pub fn reply(status: u16, headers: &str, body: &[u8]) -> Vec<u8> {
+    let head =
+        format!("HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n{headers}\r\n", body.len());
+    [head.as_bytes(), body].concat()
+}
+
+/// The store and the VM list.
+#[derive(Debug, Clone)]
+pub struct Store {
+    pub address: SocketAddr,
+    state: Arc<Mutex<Objects>>,
+}
+
+#[derive(Debug, Default)]
+struct Objects {
+    objects: BTreeMap<String, (u64, Vec<u8>)>,
+    vms: Vec<Value>,
+    outage: bool,
+}
+
+impl Store {
+    pub fn new() -> Store {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+        let address = listener.local_addr().expect("address");
+        let store = Store { address, state: Arc::default() };
+        let state = store.state.clone();
+        serve(listener, move |request| Some(answer_store(&state, &request)));
+        store
+    }
+
+    /// Writes the policy document `text` as version `version`.
+    pub fn set_policy(&self, version: u64, text: &str) {
+        let value = json!({"submission": "5f2c", "operator": "test", "text": text}).to_string();
+        let mut state = self.state.lock().expect("lock");
+        state.objects.insert("policy/current".to_owned(), (version, value.into_bytes()));
+    }
+
+    pub fn set_vms(&self, vms: Vec<Value>) {
+        self.state.lock().expect("lock").vms = vms;
+    }
+
+    pub fn set_outage(&self, outage: bool) {
+        self.state.lock().expect("lock").outage = outage;
+    }
+
+    pub fn object(&self, key: &str) -> Option<(u64, Value)> {
+        let state = self.state.lock().expect("lock");
+        let (version, value) = state.objects.get(key)?;
+        Some((*version, serde_json::from_slice(value).expect("json")))
+    }
+}
+
+fn answer_store(state: &Mutex<Objects>, request: &Request) -> Vec<u8> {
+    let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
+    let field = |name: &str| -> u64 {
+        let value = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+        value.and_then(|text| text.parse().ok()).unwrap_or(0)
+    };
+    let until = Instant::now() + Duration::from_millis(field("wait_ms"));
+    loop {
+        let mut state = state.lock().expect("lock");
+        if state.outage {
+            return reply(503, "", b"");
+        }
+        if path == "/vms" {
+            return reply(200, "", json!({"vms": state.vms}).to_string().as_bytes());
+        }
+        let key = path.strip_prefix("/objects/").expect("known path").to_owned();
+        let found = state.objects.get(&key).cloned();
+        let version = found.as_ref().map_or(0, |(version, _)| *version);
+        let header = format!("x-version: {version}\r\n");
+        if request.method == "PUT" {
+            let expected: u64 = request.headers["x-if-version"].parse().expect("version");
+            if expected != version {
+                return reply(412, &header, b"");
+            }
+            state.objects.insert(key, (version + 1, request.body.clone()));
+            return reply(200, &format!("x-version: {}\r\n", version + 1), b"");
+        }
+        match found {
+            Some((version, value)) if version > field("after") => {
+                return reply(200, &header, &value);
+            }
+            _ if Instant::now() >= until => {
+                return reply(if version == 0 { 404 } else { 304 }, "", b"");
+            }
+            _ => {}
+        }
+        drop(state);
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// What a target does with a run request: the bytes of its reply, or none to close.
+pub type Behave = Arc<Mutex<Box<dyn Fn(&Request) -> Option<Vec<u8>> + Send>>>;
+
+/// A target.
+#[derive(Clone)]
+pub struct Target {
+    pub name: String,
+    pub address: SocketAddr,
+    runs: Arc<Mutex<Vec<Request>>>,
+    cancels: Arc<Mutex<Vec<String>>>,
+    leaving: Arc<AtomicU32>,
+    delay_ms: Arc<AtomicU64>,
+}
+
+impl Target {
+    /// A target that answers each run with its body after `delay_ms`.
+    pub fn new(
+        name: &str,
+        answer: impl Fn(&Request) -> Option<Vec<u8>> + Send + Sync + 'static,
+    ) -> Target {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+        let address = listener.local_addr().expect("address");
+        let target = Target {
+            name: name.to_owned(),
+            address,
+            runs: Arc::default(),
+            cancels: Arc::default(),
+            leaving: Arc::default(),
+            delay_ms: Arc::default(),
+        };
+        let own = target.clone();
+        serve(listener, move |request| own.answer(&request, &answer));
+        target
+    }
+
+    /// A target that answers each run with the run's body.
+    pub fn echo(name: &str) -> Target {
+        Target::new(name, |request| Some(reply(200, "x-kept: yes\r\n", &request.body)))
+    }
+
+    fn answer(
+        &self,
+        request: &Request,
+        answer: &impl Fn(&Request) -> Option<Vec<u8>>,
+    ) -> Option<Vec<u8>> {
+        if request.path == "/load" {
+            let leaving = self.leaving.load(Ordering::Relaxed) > 0;
+            let load = json!({"slots": 3, "busy": 0, "queued": 0, "leaving": leaving});
+            return Some(reply(200, "", load.to_string().as_bytes()));
+        }
+        if let Some(id) = request.path.strip_prefix("/cancel/") {
+            self.cancels.lock().expect("lock").push(id.to_owned());
+            return Some(reply(200, "", b""));
+        }
+        self.runs.lock().expect("lock").push(request.clone());
+        thread::sleep(Duration::from_millis(self.delay_ms.load(Ordering::Relaxed)));
+        answer(request)
+    }
+
+    pub fn runs(&self) -> Vec<Request> {
+        self.runs.lock().expect("lock").clone()
+    }
+
+    pub fn cancels(&self) -> Vec<String> {
+        self.cancels.lock().expect("lock").clone()
+    }
+
+    pub fn set_delay(&self, delay: Duration) {
+        self.delay_ms.store(delay.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    pub fn set_leaving(&self) {
+        self.leaving.store(1, Ordering::Relaxed);
+    }
+
+    pub fn vm(&self, state: &str) -> Value {
+        let centre = self.name.strip_prefix("rounds-").and_then(|rest| rest.rsplit_once('-'));
+        json!({
+            "name": self.name, "role": "target", "service": "rounds",
+            "data_centre": centre.expect("name").0, "address": self.address, "slots": 3,
+            "state": state,
+        })
+    }
+}
+
+/// A VM list line of an entry.
+pub fn entry_vm(name: &str, centre: &str, caller: SocketAddr, peer: SocketAddr) -> Value {
+    json!({
+        "name": name, "role": "entry", "data_centre": centre, "address": caller, "peer": peer,
+        "state": "live",
+    })
+}
+
+/// A folder with an authority, for one test.
+#[derive(Debug)]
+pub struct Folder {
+    pub path: PathBuf,
+    authority: Pair,
+}
+
+impl Folder {
+    pub fn new(name: &str) -> Folder {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("ebonypass-entry-{name}-{}-{number}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        drop(std::fs::remove_dir_all(&path));
+        std::fs::create_dir_all(&path).expect("folder");
+        let authority = tls::new_authority().expect("authority");
+        authority.write(&path, "authority").expect("write");
+        Folder { path, authority }
+    }
+
+    /// The settings text of an entry with ports chosen by the system.
+    pub fn settings(&self, name: &str, centre: &str, store: SocketAddr, more: &str) -> String {
+        if !self.path.join(format!("{name}.pem")).exists() {
+            let pair = tls::issue(&self.authority, name).expect("issue");
+            pair.write(&self.path, name).expect("write");
+        }
+        format!(
+            "name = \"{name}\"\ndata_centre = \"{centre}\"\ncaller_listen = \"127.0.0.1:0\"\n\
+             peer_listen = \"127.0.0.1:0\"\nadmin_listen = \"127.0.0.1:0\"\nstore = \"{store}\"\n\
+             [tls]\nauthority = \"authority.pem\"\ncertificate = \"{name}.pem\"\n\
+             key = \"{name}.key\"\n{more}"
+        )
+    }
+
+    /// Starts an entry in this process.
+    pub fn start(&self, name: &str, centre: &str, store: SocketAddr, more: &str) -> Server {
+        let text = self.settings(name, centre, store, more);
+        let settings: Settings = settings::scan(&text, Path::new(&self.path)).expect("settings");
+        smol::block_on(async { Server::start(settings) }).expect("start")
+    }
+}
+
+/// What a caller got.
+#[derive(Debug, Clone)]
+pub struct Got {
+    pub status: u16,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Got {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    /// Status, outcome and code in one text.
+    pub fn summary(&self) -> String {
+        let (outcome, code) = (self.header("ebonypass-outcome"), self.header("ebonypass-code"));
+        format!("{} {outcome} {code}", self.status).trim_end().to_owned()
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).expect("json")
+    }
+}
+
+/// Sends one request; none if no complete reply came.
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &[u8],
+) -> Option<Got> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    call_on(&mut stream, method, path, headers, body)
+}
+
+/// Sends one request over an open connection.
+pub fn call_on(
+    stream: &mut TcpStream,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &[u8],
+) -> Option<Got> {
+    let length = body.len();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: entry\r\ncontent-length: {length}\r\n{headers}\r\n"
+    );
+    stream.write_all(&[head.as_bytes(), body].concat()).ok()?;
+    let (line, headers, body) = read_message(stream)?;
+    let status = line.split(' ').nth(1)?.parse().ok()?;
+    Some(Got { status, headers, body })
+}
+
+/// The headers of a run request from a client in Zurich.
+pub const HEADERS: &str = "ebonypass-member: windelrunde\r\nebonypass-block: 10.1.0.0/24\r\n";
+
+/// Sends a run request of an idempotent kind.
+pub fn run(address: SocketAddr, body: &[u8]) -> Got {
+    call(address, "POST", "/v1/run/rounds/lookup", HEADERS, body).expect("reply")
+}
+
+/// Asks for a look-up.
+pub fn lookup(address: SocketAddr) -> Got {
+    let path = "/v1/lookup?member=windelrunde&service=rounds&block=10.1.0.0/24";
+    call(address, "GET", path, "", b"").expect("reply")
+}
+
+/// Sends a run request of the non-idempotent kind with a fresh request key of `address`.
+pub fn log(address: SocketAddr, nonce: &str) -> Option<Got> {
+    let arbiter = lookup(address).json()["arbiter"].as_str().expect("arbiter").to_owned();
+    let headers = format!("{HEADERS}ebonypass-key: {arbiter}/{nonce}\r\n");
+    call(address, "POST", "/v1/run/rounds/log", &headers, b"swap")
+}
+
+/// Waits until `is_true`, at most 10 s.
+pub fn wait_until(what: &str, is_true: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !is_true() {
+        assert!(start.elapsed() < Duration::from_secs(10), "timeout: {what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// An entry of `zurich-1` that serves `targets`.
+pub struct World {
+    pub folder: Folder,
+    pub store: Store,
+    pub server: Server,
+}
+
+impl World {
+    pub fn new(name: &str, targets: &[&Target], more: &str) -> World {
+        let (folder, store) = (Folder::new(name), Store::new());
+        store.set_policy(7, POLICY);
+        store.set_vms(targets.iter().map(|target| target.vm("live")).collect());
+        let server = folder.start("zurich-1-a", "zurich-1", store.address, more);
+        let world = World { folder, store, server };
+        let address = world.address();
+        wait_until("policy", || lookup(address).status == 200);
+        if !targets.is_empty() {
+            wait_until("targets", || metric(world.server.admin_address(), "free_slots") > 0.0);
+        }
+        world
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.server.caller_address()
+    }
+}
+
+/// The sum of the samples of a metric, whatever their labels.
+pub fn metric(admin: SocketAddr, name: &str) -> f64 {
+    let page = call(admin, "GET", "/metrics", "", b"").expect("metrics");
+    let page = String::from_utf8(page.body).expect("text");
+    let start = format!("ebonypass_{name}");
+    let samples = page.lines().filter_map(|line| {
+        let rest = line.strip_prefix(&start)?;
+        let rest = rest.strip_prefix("_total").unwrap_or(rest);
+        rest.starts_with([' ', '{']).then(|| rest.rsplit(' ').next())?
+    });
+    samples.map(|value| value.parse::<f64>().expect("number")).sum()
+}
--- /dev/null
+++ b/crates/entry/tests/serve.rs
@@ -0,0 +1,171 @@
+//! Look-ups and requests through one entry.
+
+mod fake;
+
+use std::time::Duration;
+
+use fake::{HEADERS, Target, World, call, log, lookup, metric, reply, run, wait_until};
+use test_case::test_case;
+
+/// The whole path: look-up, run, headers and metrics.
+#[test]
+fn thin_path() {
+    let target = Target::echo("rounds-zurich-1-01");
+    let world = World::new("thin", &[&target], "");
+    let got = run(world.address(), b"sheet 7");
+    assert_eq!(got.summary(), "200 answered");
+    assert_eq!(got.body, b"sheet 7");
+    assert_eq!(got.header("x-kept"), "yes");
+    let request = &target.runs()[0];
+    assert_eq!(request.path, "/run/rounds/lookup");
+    let deadline: u64 = request.headers["x-deadline-ms"].parse().expect("number");
+    assert!((900..=1_000).contains(&deadline), "{deadline}");
+    assert!(request.headers["x-request-id"].starts_with("zurich-1-a."));
+    assert!(metric(world.server.admin_address(), "replies") >= 1.0);
+    smol::block_on(world.server.stop());
+}
+
+/// What a refused request says. Each is "not run", and no target sees it.
+#[test_case("POST", "/v1/run/nothing/lookup", HEADERS, "404 not-run EP-2001"; "service")]
+#[test_case("POST", "/v1/run/rounds/nothing", HEADERS, "404 not-run EP-2003"; "kind")]
+#[test_case("POST", "/v1/run/rounds/lookup", "ebonypass-block: 10.1.0.0/24\r\n", "404 not-run EP-2002"; "no member")]
+#[test_case("POST", "/v1/run/rounds/lookup", "ebonypass-member: nobody\r\nebonypass-block: 10.1.0.0/24\r\n", "404 not-run EP-2002"; "member")]
+#[test_case("POST", "/v1/run/rounds/lookup", "ebonypass-member: podilato\r\nebonypass-block: 10.1.0.0/24\r\n", "404 not-run EP-2005"; "not allowed")]
+#[test_case("POST", "/v1/run/rounds/lookup", "ebonypass-member: windelrunde\r\nebonypass-block: 10.9.0.0/24\r\n", "404 not-run EP-2004"; "block")]
+#[test_case("POST", "/v1/run/rounds/log", HEADERS, "400 not-run EP-2010"; "no key")]
+#[test_case("POST", "/v1/run/rounds/log", "ebonypass-member: windelrunde\r\nebonypass-block: 10.1.0.0/24\r\nebonypass-key: x\r\n", "400 not-run EP-2011"; "bad key")]
+#[test_case("POST", "/v1/run/rounds/lookup", "ebonypass-member: windelrunde\r\nebonypass-block: 10.1.0.0/24\r\nebonypass-deadline-ms: x\r\n", "400 not-run EP-2014"; "bad deadline")]
+#[test_case("POST", "/v1/run/rounds/lookup", "ebonypass-member: windelrunde\r\nebonypass-block: 10.1.0.0/24\r\nebonypass-deadline-ms: 0\r\n", "503 not-run EP-2006"; "no time")]
+fn refused_run(method: &str, path: &str, headers: &str, expected: &str) {
+    let target = Target::echo("rounds-zurich-1-01");
+    let world = World::new("refused-run", &[&target], "");
+    let got = call(world.address(), method, path, headers, b"x").expect("reply");
+    assert_eq!(got.summary(), expected);
+    assert!(target.runs().is_empty());
+}
+
+/// What a refused look-up says.
+#[test_case("member=windelrunde&service=rounds&block=10.9.0.0/24", "EP-2004"; "block")]
+#[test_case("member=windelrunde&service=rounds&block=10.1.0.0", "EP-2004"; "no prefix")]
+#[test_case("member=windelrunde&service=rounds&block=10.1.0.1/24", "EP-2004"; "host bits")]
+#[test_case("member=windelrunde&service=x&block=10.1.0.0/24", "EP-2001"; "service")]
+#[test_case("member=x&service=rounds&block=10.1.0.0/24", "EP-2002"; "member")]
+#[test_case("", "EP-2002"; "empty")]
+fn refused_lookup(query: &str, code: &str) {
+    let world = World::new("refused-lookup", &[], "");
+    let path = format!("/v1/lookup?{query}");
+    let got = call(world.address(), "GET", &path, "", b"").expect("reply");
+    assert_eq!(got.summary(), format!("404 not-run {code}"));
+}
+
+/// Without a document every request is refused as not run, and health says so.
+#[test]
+fn no_policy() {
+    let folder = fake::Folder::new("no-policy");
+    let store = fake::Store::new();
+    let server = folder.start("zurich-1-a", "zurich-1", store.address, "");
+    assert_eq!(run(server.caller_address(), b"x").summary(), "503 not-run EP-2009");
+    assert_eq!(lookup(server.caller_address()).summary(), "503 not-run EP-2009");
+    let health = call(server.admin_address(), "GET", "/health", "", b"").expect("reply");
+    assert_eq!(health.status, 503);
+    store.set_policy(3, fake::POLICY);
+    wait_until("health", || {
+        call(server.admin_address(), "GET", "/health", "", b"").expect("reply").status == 200
+    });
+}
+
+/// A faulty document does not replace the one in force, and an older one never comes back.
+#[test]
+fn policy_order() {
+    let world = World::new("policy-order", &[], "");
+    let version = || lookup(world.address()).json()["version"].as_u64().expect("version");
+    assert_eq!(version(), 7);
+    world.store.set_policy(8, "schema = 2");
+    std::thread::sleep(Duration::from_millis(200));
+    assert_eq!(version(), 7);
+    world.store.set_policy(9, fake::POLICY);
+    wait_until("version 9", || version() == 9);
+    world.store.set_policy(5, fake::POLICY);
+    std::thread::sleep(Duration::from_millis(200));
+    assert_eq!(version(), 9);
+}
+
+/// Requests go on while the store is down.
+#[test]
+fn store_outage() {
+    let target = Target::echo("rounds-zurich-1-01");
+    let world = World::new("store-outage", &[&target], "");
+    world.store.set_outage(true);
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(run(world.address(), b"x").summary(), "200 answered");
+    assert_eq!(lookup(world.address()).status, 200);
+}
+
+/// A request key runs once, whatever the first attempt's outcome was.
+#[test]
+fn repeated_key() {
+    let target = Target::echo("rounds-zurich-1-01");
+    let world = World::new("repeated-key", &[&target], "");
+    assert_eq!(log(world.address(), "n1").expect("reply").summary(), "200 answered");
+    let arbiter = lookup(world.address()).json()["arbiter"].as_str().expect("arbiter").to_owned();
+    let headers = format!("{HEADERS}ebonypass-key: {arbiter}/n2\r\n");
+    for expected in ["200 answered", "409 unknown EP-3004"] {
+        let got = call(world.address(), "POST", "/v1/run/rounds/log", &headers, b"x");
+        assert_eq!(got.expect("reply").summary(), expected);
+    }
+    assert_eq!(target.runs().len(), 2);
+}
+
+/// A key of another process cannot be vouched for.
+#[test]
+fn foreign_key() {
+    let target = Target::echo("rounds-zurich-1-01");
+    let world = World::new("foreign-key", &[&target], "");
+    let headers = format!("{HEADERS}ebonypass-key: zurich-1-a.other.5/n1\r\n");
+    let got = call(world.address(), "POST", "/v1/run/rounds/log", &headers, b"x").expect("reply");
+    assert_eq!(got.summary(), "502 unknown EP-3003");
+    assert!(target.runs().is_empty());
+}
+
+/// Non-idempotent work whose reply is lost is unknown, and is not tried again.
+#[test]
+fn lost_reply() {
+    let target = Target::new("rounds-zurich-1-01", |_| None);
+    let world = World::new("lost-reply", &[&target], "");
+    assert_eq!(log(world.address(), "n1").expect("reply").summary(), "502 unknown EP-3001");
+    assert_eq!(target.runs().len(), 1);
+}
+
+/// A target that refuses before running leaves the work to another one.
+#[test]
+fn shed_work() {
+    let shed = Target::new("rounds-zurich-1-01", |_| Some(reply(503, "x-not-run: 1\r\n", b"")));
+    let echo = Target::echo("rounds-zurich-1-02");
+    let world = World::new("shed-work", &[&shed, &echo], "");
+    for nonce in ["n1", "n2", "n3", "n4"] {
+        assert_eq!(log(world.address(), nonce).expect("reply").summary(), "200 answered");
+    }
+    assert_eq!(echo.runs().len(), 4);
+}
+
+/// When every target refuses before running, the caller is told that nothing ran.
+#[test]
+fn shed_everywhere() {
+    let shed = Target::new("rounds-zurich-1-01", |_| Some(reply(503, "x-not-run: 1\r\n", b"")));
+    let world = World::new("shed-everywhere", &[&shed], "");
+    let got = log(world.address(), "n1").expect("reply");
+    assert!(got.summary().starts_with("503 not-run EP-20"), "{}", got.summary());
+}
+
+/// The answer to a request that runs past its deadline is unknown, and comes at the deadline.
+#[test]
+fn late_target() {
+    let target = Target::echo("rounds-zurich-1-01");
+    let world = World::new("late-target", &[&target], "");
+    target.set_delay(Duration::from_millis(1_000));
+    let headers = format!("{HEADERS}ebonypass-deadline-ms: 200\r\n");
+    let start = std::time::Instant::now();
+    let got = call(world.address(), "POST", "/v1/run/rounds/lookup", &headers, b"x");
+    assert_eq!(got.expect("reply").summary(), "502 unknown EP-3005");
+    assert!(start.elapsed() < Duration::from_millis(500), "{:?}", start.elapsed());
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,11 +1,14 @@
 //! Sockets, timers, settings, logs and metrics round the decisions of `ebonypass-core`.
 
+pub mod clock;
+mod connection;
 pub mod event;
 pub mod metric;
 pub mod peer;
 pub mod settings;
 pub mod stop;
 pub mod store;
+pub mod sync;
 pub mod target;
 pub mod tls;
 pub mod trace;
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -6,6 +6,8 @@
 use prometheus_client::registry::Registry;
 use trillium::{Conn, Handler};
 
+use crate::sync::lock;
+
 /// The media type of the metrics page.
 const MEDIA_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -24,10 +26,8 @@
     /// The metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
-        // A holder that panicked leaves the registry as it was, since it is only read.
-        let registry = self.registry.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         // Writing to a string cannot fail.
-        let _ = encode(&mut text, &registry);
+        let _ = encode(&mut text, &lock(&self.registry));
         text
     }
 }
