--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,7 @@
 //! Sockets, timers, settings, logs and metrics round the decisions of `ebonypass-core`.
 
+pub mod clock;
+mod connection;
 pub mod event;
 pub mod metric;
 pub mod peer;
@@ -7,6 +9,7 @@
 pub mod stop;
 pub mod store;
 pub mod submit;
+pub mod sync;
 pub mod target;
 pub mod tls;
 pub mod trace;
