Add the stand-ins for the store and the targets

Ruled out: closing the socket by a panic in the handler for a lost reply; a streamed body that fails before its first byte closes the connection without a byte of a reply. Change: standin-store with versions, conditional updates, watches, list, VM list with lag, outage, silence, delay and lost replies; standin-target with slots, queue, cold start, straggling, shedding, cancellation, deadlines, misleading reports, cut and lost replies and a record of runs. Conclusion: both stand-ins are usable by the other crates.

--- /dev/null
+++ b/crates/standin/src/bin/standin-store.rs
@@ -0,0 +1,21 @@
+//! The stand-in for the platform's object store and VM list.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use ebonypass_standin::serve;
+use ebonypass_standin::store::Store;
+
+/// Stand-in for the platform's object store and VM list. All state is in memory.
+#[derive(FromArgs)]
+struct Arguments {
+    /// address to listen on, by default 127.0.0.1:0
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 0))")]
+    listen: SocketAddr,
+}
+
+fn main() -> anyhow::Result<()> {
+    let arguments: Arguments = argh::from_env();
+    serve::run(arguments.listen, Store::default().handler())?;
+    Ok(())
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder until the first module lands.
+//! Stand-ins for the outside systems: the store with its VM list, targets and callers.
+//!
+//! They exist for tests and the demo. No shipped program depends on them.
+
+pub mod load;
+pub mod payload;
+pub mod run;
+pub mod serve;
+pub mod store;
+pub mod target;
+pub mod vm;
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,329 @@
+//! Stand-in for the platform's object store and VM list.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use futures_lite::future::or;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use smol::Timer;
+use smol::channel::{Receiver, Sender, bounded};
+use trillium::{Conn, Handler};
+use trillium_router::{Router, RouterConnExt};
+
+use crate::serve::{bad_request, hold, no_reply, query_value, read_json, reply_json};
+use crate::vm::{History, List};
+
+/// The largest value in bytes that the platform's store holds.
+pub const MAX_VALUE: u64 = 1_000_000;
+
+/// The longest time that a watch waits.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+/// The header that carries an object's version.
+const VERSION_HEADER: &str = "x-version";
+
+/// Faults that `POST /fault` sets. Fields that are not given are off.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Fault {
+    /// Milliseconds by which each call is delayed.
+    pub delay_ms: u64,
+    /// Whether the store answers 503 to each call.
+    pub outage: bool,
+    /// Whether an outage gives no answer at all instead.
+    pub silent: bool,
+    /// The number of next writes that take effect but whose reply is lost.
+    pub lose_replies: u32,
+    /// Milliseconds by which the VM list lags.
+    pub vm_lag_ms: u64,
+}
+
+/// Calls since the start, as `GET /counts` gives them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Counts {
+    /// Reads of one object.
+    pub get: u64,
+    /// Reads that wait for a newer version, each counted once.
+    pub watch: u64,
+    /// Writes, also those that conflict or are refused.
+    pub put: u64,
+    /// Writes that met another version.
+    pub conflict: u64,
+    /// Writes that were larger than the limit.
+    pub too_large: u64,
+    /// Lists of keys.
+    pub list: u64,
+    /// Reads of the VM list.
+    pub vms: u64,
+    /// Calls that met an outage.
+    pub outage: u64,
+    /// Writes that took effect without a reply.
+    pub lost: u64,
+}
+
+/// An object's version and value.
+type Object = (u64, Arc<[u8]>);
+
+#[derive(Default)]
+struct State {
+    objects: BTreeMap<String, Object>,
+    /// Watches by key. Dropping a sender wakes its watch.
+    watches: HashMap<String, Vec<Sender<()>>>,
+    vms: History,
+    fault: Fault,
+    counts: Counts,
+}
+
+/// The store's state, shared by its connections.
+#[derive(Clone, Default)]
+pub struct Store {
+    state: Arc<Mutex<State>>,
+}
+
+impl Store {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no call panics while it holds the state")
+    }
+
+    /// The handler of the HTTP interface.
+    pub fn handler(&self) -> impl Handler {
+        let [list, get, put] = [self.clone(), self.clone(), self.clone()];
+        let [vms, set_vms, fault, counts] =
+            [self.clone(), self.clone(), self.clone(), self.clone()];
+        Router::new()
+            .get("/objects", move |conn: Conn| list.clone().list(conn))
+            .get("/objects/*", move |conn: Conn| get.clone().get(conn))
+            .put("/objects/*", move |conn: Conn| put.clone().put(conn))
+            .get("/vms", move |conn: Conn| vms.clone().vms(conn))
+            .put("/vms", move |conn: Conn| set_vms.clone().set_vms(conn))
+            .post("/fault", move |conn: Conn| fault.clone().set_fault(conn))
+            .get("/counts", move |conn: Conn| counts.clone().counts(conn))
+    }
+
+    /// Counts a call, applies delay and outage, and gives the connection back if it may go on.
+    async fn admit(&self, conn: Conn, count: impl FnOnce(&mut Counts)) -> Result<Conn, Conn> {
+        let delay_ms = {
+            let mut state = self.lock();
+            count(&mut state.counts);
+            state.fault.delay_ms
+        };
+        if delay_ms > 0 {
+            Timer::after(Duration::from_millis(delay_ms)).await;
+        }
+        self.check_outage(conn).await
+    }
+
+    async fn check_outage(&self, mut conn: Conn) -> Result<Conn, Conn> {
+        let fault = self.lock().fault;
+        if !fault.outage {
+            return Ok(conn);
+        }
+        self.lock().counts.outage += 1;
+        if fault.silent {
+            let swansong = conn.swansong();
+            hold(&mut conn, swansong).await;
+            return Err(no_reply(conn));
+        }
+        Err(conn.with_status(503).with_body("outage").halt())
+    }
+
+    async fn list(self, conn: Conn) -> Conn {
+        let conn = match self.admit(conn, |counts| counts.list += 1).await {
+            Ok(conn) => conn,
+            Err(conn) => return conn,
+        };
+        let prefix = query_value(&conn, "prefix").unwrap_or_default();
+        let objects: Vec<_> = {
+            let state = self.lock();
+            let matching = state.objects.iter().filter(|(key, _)| key.starts_with(&prefix));
+            matching.map(|(key, object)| json!({"key": key, "version": object.0})).collect()
+        };
+        reply_json(conn, &json!({ "objects": objects }))
+    }
+
+    async fn get(self, conn: Conn) -> Conn {
+        let key = key_of(&conn);
+        let after = query_value(&conn, "after").map(|text| text.parse());
+        let wait_ms = query_value(&conn, "wait_ms").map(|text| text.parse());
+        match (after, wait_ms) {
+            (None, None) => self.read(conn, &key).await,
+            (Some(Ok(after)), Some(Ok(wait_ms))) => {
+                self.watch(conn, &key, after, Duration::from_millis(wait_ms)).await
+            }
+            _ => bad_request(conn, "a watch needs the numbers after and wait_ms"),
+        }
+    }
+
+    async fn read(&self, conn: Conn, key: &str) -> Conn {
+        let conn = match self.admit(conn, |counts| counts.get += 1).await {
+            Ok(conn) => conn,
+            Err(conn) => return conn,
+        };
+        let object = self.lock().objects.get(key).cloned();
+        match object {
+            Some(object) => reply_object(conn, object),
+            None => conn.with_status(404).with_body("no such object").halt(),
+        }
+    }
+
+    async fn watch(&self, conn: Conn, key: &str, after: u64, wait: Duration) -> Conn {
+        let conn = match self.admit(conn, |counts| counts.watch += 1).await {
+            Ok(conn) => conn,
+            Err(conn) => return conn,
+        };
+        let swansong = conn.swansong();
+        let newer = swansong.interrupt(self.newer(key, after, wait.min(MAX_WAIT)));
+        let mut conn = conn;
+        let found = conn.cancel_on_disconnect(newer).await.flatten().flatten();
+        // An outage ends the watches that are waiting.
+        let conn = match self.check_outage(conn).await {
+            Ok(conn) => conn,
+            Err(conn) => return conn,
+        };
+        match found {
+            Some(object) => reply_object(conn, object),
+            None => conn.with_status(304).halt(),
+        }
+    }
+
+    /// The object once its version is above `after`, or nothing when the time is over.
+    async fn newer(&self, key: &str, after: u64, wait: Duration) -> Option<Object> {
+        let end = Instant::now() + wait;
+        loop {
+            let change = match self.next_change(key, after) {
+                Ok(object) => return Some(object),
+                Err(change) => change,
+            };
+            let changed = async { change.recv().await.is_err() };
+            let timed_out = async {
+                Timer::at(end).await;
+                false
+            };
+            if !or(changed, timed_out).await || self.lock().fault.outage {
+                return None;
+            }
+        }
+    }
+
+    /// The object if it is newer than `after`, otherwise what closes at the key's next change.
+    fn next_change(&self, key: &str, after: u64) -> Result<Object, Receiver<()>> {
+        let mut state = self.lock();
+        if let Some(object) = state.objects.get(key).filter(|object| object.0 > after) {
+            return Ok(object.clone());
+        }
+        let (sender, receiver) = bounded(1);
+        let watches = state.watches.entry(key.to_owned()).or_default();
+        watches.retain(|watch| !watch.is_closed());
+        watches.push(sender);
+        Err(receiver)
+    }
+
+    async fn put(self, conn: Conn) -> Conn {
+        let key = key_of(&conn);
+        let mut conn = match self.admit(conn, |counts| counts.put += 1).await {
+            Ok(conn) => conn,
+            Err(conn) => return conn,
+        };
+        let expected = conn.request_headers().get_str("x-if-version").map(str::parse::<u64>);
+        let Some(Ok(expected)) = expected else {
+            return bad_request(conn, "a write needs the header x-if-version with a number");
+        };
+        let value = match conn.request_body().with_max_len(MAX_VALUE).read_bytes().await {
+            Ok(value) => value,
+            Err(_) => {
+                self.lock().counts.too_large += 1;
+                return conn.with_status(413).with_body("the value is larger than 1 MB").halt();
+            }
+        };
+        match self.write(key, expected, value) {
+            Written::Version(version) => {
+                conn.with_response_header(VERSION_HEADER, version.to_string()).ok("")
+            }
+            Written::Conflict(version) => conn
+                .with_response_header(VERSION_HEADER, version.to_string())
+                .with_status(412)
+                .with_body("another version is current")
+                .halt(),
+            Written::Lost => no_reply(conn),
+        }
+    }
+
+    fn write(&self, key: String, expected: u64, value: Vec<u8>) -> Written {
+        let mut state = self.lock();
+        let current = state.objects.get(&key).map_or(0, |object| object.0);
+        if current != expected {
+            state.counts.conflict += 1;
+            return Written::Conflict(current);
+        }
+        state.watches.remove(&key);
+        state.objects.insert(key, (current + 1, value.into()));
+        if state.fault.lose_replies > 0 {
+            state.fault.lose_replies -= 1;
+            state.counts.lost += 1;
+            return Written::Lost;
+        }
+        Written::Version(current + 1)
+    }
+
+    async fn vms(self, conn: Conn) -> Conn {
+        let conn = match self.admit(conn, |counts| counts.vms += 1).await {
+            Ok(conn) => conn,
+            Err(conn) => return conn,
+        };
+        let list = {
+            let state = self.lock();
+            state.vms.at(Instant::now(), Duration::from_millis(state.fault.vm_lag_ms))
+        };
+        reply_json(conn, &list)
+    }
+
+    async fn set_vms(self, mut conn: Conn) -> Conn {
+        match read_json::<List>(&mut conn).await {
+            Ok(list) => {
+                self.lock().vms.push(Instant::now(), list);
+                conn.ok("")
+            }
+            Err(message) => bad_request(conn, message),
+        }
+    }
+
+    async fn set_fault(self, mut conn: Conn) -> Conn {
+        let fault = match read_json::<Fault>(&mut conn).await {
+            Ok(fault) => fault,
+            Err(message) => return bad_request(conn, message),
+        };
+        {
+            let mut state = self.lock();
+            state.fault = fault;
+            if fault.outage {
+                state.watches.clear();
+            }
+        }
+        reply_json(conn, &fault)
+    }
+
+    async fn counts(self, conn: Conn) -> Conn {
+        let counts = self.lock().counts;
+        reply_json(conn, &counts)
+    }
+}
+
+/// What became of a write.
+enum Written {
+    /// It made this version.
+    Version(u64),
+    /// This other version is current.
+    Conflict(u64),
+    /// It took effect and the reply is to be lost.
+    Lost,
+}
+
+fn key_of(conn: &Conn) -> String {
+    conn.wildcard().unwrap_or_default().to_owned()
+}
+
+fn reply_object(conn: Conn, (version, value): Object) -> Conn {
+    conn.with_response_header(VERSION_HEADER, version.to_string()).ok(value.to_vec())
+}
