Add the stand-in callers and the comparison of reports and records

Cause: duplicate runs, wrong "not run" and broken replies only show when what callers were told is compared with what targets ran. Ruled out: joining by x-request-id alone; entries make a new one for each attempt, so the caller's key and attempt number travel in the body. Change: standin-caller (open loop, look-up cache, fail-over, repeated keys, byte check, report) and standin-check (comparison, free ports).

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,8 +2,14 @@
 //!
 //! They exist for tests and the demo. No shipped program depends on them.
 
+pub mod caller;
+pub mod check;
+pub mod entry;
+mod link;
 pub mod load;
 pub mod payload;
+pub mod plan;
+pub mod report;
 pub mod run;
 pub mod serve;
 pub mod store;
