--- a/crates/standin/src/bin/standin-target.rs
+++ b/crates/standin/src/bin/standin-target.rs
@@ -6,7 +6,8 @@
 use argh::FromArgs;
 use ebonypass_standin::run::Record;
 use ebonypass_standin::serve;
-use ebonypass_standin::target::{KindCost, Shape, Target};
+use ebonypass_standin::shape::{KindCost, Shape};
+use ebonypass_standin::target::Target;
 
 /// Stand-in for a target. Faults are set by POST /fault, what ran is given by GET /runs.
 #[derive(FromArgs)]
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod report;
 pub mod run;
 pub mod serve;
+pub mod shape;
 pub mod store;
 pub mod target;
 pub mod vm;
