Add seats and lending of link rate

Ruled out: majorities over the holders only, promises by holders whose own seat has ended, consents right after a seat changed hands, and loans whose lifetime counts from receipt: each leaves an interleaving with more rate in force than the cap (reasons in the module docs of `seat` and `share`).

--- /dev/null
+++ b/crates/core/src/quorum.rs
@@ -0,0 +1,198 @@
+//! Majorities of seat holders: extension by promises, and consents to a take-over.
+//!
+//! The rules and their reasons are in [`crate::seat`].
+
+use crate::lease::{LEASE, Record, TAKE_AFTER};
+use crate::roster::{Process, Roster};
+use crate::seat::{Action, EXTEND_BELOW, FRESH_READ, Holder, Message, ROUND_PAUSE, Seen};
+use crate::time::Instant;
+use crate::vote::{Consent, Count, Extend, Promise, TakeOver, Tenure, Vote};
+
+/// Questions for promises that are under way.
+#[derive(Debug)]
+pub(crate) struct Round {
+    number: u64,
+    pub(crate) start: Instant,
+    tenures: Vec<Tenure>,
+    count: Count,
+}
+
+/// Questions for consents that are under way.
+#[derive(Debug)]
+pub(crate) struct Canvass {
+    tenure: Tenure,
+    votes: Vec<Vote>,
+    asked_at: Instant,
+}
+
+impl Holder {
+    /// Asks for promises if the store has not renewed the seats in time.
+    pub(crate) fn start_round(&mut self, now: Instant) {
+        let Some(first) = self.slots.iter().map(|slot| slot.until).min() else { return };
+        let is_asked = self.round.as_ref().is_some_and(|round| now < round.start + ROUND_PAUSE);
+        if is_asked || now + EXTEND_BELOW < first {
+            return;
+        }
+        self.rounds += 1;
+        let tenures: Vec<Tenure> = self.slots.iter().map(|slot| slot.tenure).collect();
+        let own = self.own.clone();
+        let votes = self.promise(now, &own, &tenures).unwrap_or_default();
+        let mut count = Count::new(self.seats());
+        votes.iter().for_each(|vote| count.add(usize::from(vote.seat)));
+        let message = Message::Extend(Extend { round: self.rounds, tenures: tenures.clone() });
+        self.send_to_holders(&message);
+        self.round = Some(Round { number: self.rounds, start: now, tenures, count });
+        self.end_round();
+    }
+
+    pub(crate) fn note_promise(&mut self, promise: &Promise) {
+        let Some(round) = self.round.as_mut() else { return };
+        if round.number == promise.round {
+            promise.votes.iter().for_each(|vote| round.count.add(usize::from(vote.seat)));
+            self.end_round();
+        }
+    }
+
+    /// Extends the seats of the round if a majority has promised.
+    fn end_round(&mut self) {
+        let Some(round) = self.round.as_ref().filter(|round| round.count.is_majority()) else {
+            return;
+        };
+        for slot in &mut self.slots {
+            let is_same = |tenure: &Tenure| {
+                tenure.seat == slot.tenure.seat && tenure.epoch == slot.tenure.epoch
+            };
+            if round.tenures.iter().any(is_same) {
+                slot.until = slot.until.max(round.start + LEASE);
+            }
+        }
+    }
+
+    /// The votes of this process for a promise, if it gives one.
+    pub(crate) fn promise(
+        &mut self,
+        now: Instant,
+        holder: &Process,
+        tenures: &[Tenure],
+    ) -> Option<Vec<Vote>> {
+        let in_force = self.slots.iter().filter(|slot| now < slot.until);
+        let votes: Vec<Vote> = in_force.map(|slot| vote_of(slot.tenure)).collect();
+        let seats = &self.seen.as_ref()?.seats;
+        let is_given = !votes.is_empty() && self.book.promise(now, holder, tenures, seats);
+        is_given.then_some(votes)
+    }
+
+    /// The votes of this process for a consent, if it gives one.
+    pub(crate) fn consent(&mut self, now: Instant, tenure: Tenure) -> Option<Vec<Vote>> {
+        let seats = &self.seen.as_ref()?.seats;
+        let is_own = self.slots.iter().any(|slot| slot.tenure.seat == tenure.seat);
+        let settled = self.slots.iter().filter(|slot| now >= slot.since + TAKE_AFTER);
+        let mut votes: Vec<Vote> = settled.map(|slot| vote_of(slot.tenure)).collect();
+        if now >= self.started + TAKE_AFTER {
+            votes.extend(seats.iter().enumerate().filter_map(|(seat, stored)| {
+                let holder = stored.holder.as_ref()?;
+                let is_earlier = holder.name == self.own.name && *holder != self.own;
+                is_earlier.then_some(Vote { seat: seat as u16, epoch: stored.epoch })
+            }));
+        }
+        let is_given = !is_own && !votes.is_empty() && self.book.consent(now, tenure, seats);
+        is_given.then_some(votes)
+    }
+
+    /// Asks for consents to take a seat over, if this process wants one and one looks abandoned.
+    pub(crate) fn start_canvass(&mut self, now: Instant, roster: &Roster) {
+        let Some(seen) = &self.seen else { return };
+        if now >= seen.read_at + FRESH_READ || self.slots.len() >= self.wanted {
+            return;
+        }
+        let Some(tenure) = self.abandoned(now, seen, roster) else {
+            self.canvass = None;
+            return;
+        };
+        let asked = self.canvass.as_ref().filter(|canvass| canvass.tenure == tenure);
+        if asked.is_some_and(|canvass| now < canvass.asked_at + ROUND_PAUSE) {
+            return;
+        }
+        let mut votes = self.consent(now, tenure).unwrap_or_default();
+        if let Some(canvass) = self.canvass.take().filter(|canvass| canvass.tenure == tenure) {
+            votes.extend(canvass.votes);
+        }
+        self.canvass = Some(Canvass { tenure, votes, asked_at: now });
+        self.send_to_holders(&Message::TakeOver(TakeOver { tenure }));
+    }
+
+    /// The first seat of another process that has been unchanged for long enough, those of VMs
+    /// that have gone first.
+    fn abandoned(&self, now: Instant, seen: &Seen, roster: &Roster) -> Option<Tenure> {
+        let candidates = seen.seats.iter().enumerate().filter(|(seat, stored)| {
+            let is_other = stored.holder.as_ref().is_some_and(|holder| *holder != self.own);
+            is_other && now >= seen.since[*seat] + TAKE_AFTER
+        });
+        let (seat, stored) = candidates.min_by_key(|(_, stored)| !is_gone(stored, roster))?;
+        Some(Tenure { seat: seat as u16, epoch: stored.epoch, renewal: stored.renewal })
+    }
+
+    pub(crate) fn note_consent(&mut self, now: Instant, consent: &Consent) {
+        let Some(canvass) = self.canvass.as_mut() else { return };
+        if canvass.tenure != consent.tenure {
+            return;
+        }
+        for vote in &consent.votes {
+            if !canvass.votes.contains(vote) {
+                canvass.votes.push(*vote);
+            }
+        }
+        self.next_at = if self.is_stale { self.next_at } else { now };
+    }
+
+    /// The seat that a majority has consented to give to this process.
+    pub(crate) fn won_seat(&self, now: Instant, roster: &Roster) -> Option<usize> {
+        let seen = self.seen.as_ref()?;
+        let Canvass { tenure, votes, .. } = self.canvass.as_ref()?;
+        let seat = usize::from(tenure.seat);
+        let stored = seen.seats.get(seat)?;
+        let is_same = stored.epoch == tenure.epoch && stored.renewal == tenure.renewal;
+        if !is_same || stored.holder.is_none() || now < seen.since[seat] + TAKE_AFTER {
+            return None;
+        }
+        let mut count = Count::new(seen.seats.len());
+        for vote in votes {
+            let voter = seen.seats.get(usize::from(vote.seat));
+            if voter.is_some_and(|voter| voter.holder.is_some() && voter.epoch == vote.epoch) {
+                count.add(usize::from(vote.seat));
+            }
+        }
+        for (seat, stored) in seen.seats.iter().enumerate() {
+            if is_gone(stored, roster) {
+                count.add(seat);
+            }
+        }
+        count.is_majority().then_some(seat)
+    }
+
+    /// Queues `message` for each other process that holds a seat, once for each name.
+    fn send_to_holders(&mut self, message: &Message) {
+        let Some(seen) = &self.seen else { return };
+        let holders = seen.seats.iter().filter_map(|stored| stored.holder.as_ref());
+        let mut names: Vec<&String> = holders.map(|holder| &holder.name).collect();
+        names.sort_unstable();
+        names.dedup();
+        names.retain(|name| **name != self.own.name);
+        let sends = names
+            .into_iter()
+            .map(|name| Action::Send { to: name.clone(), message: message.clone() });
+        self.queue.extend(sends);
+    }
+}
+
+/// Whether the VM of the holder has been off the VM list for so long that all that the holder
+/// promised has ended.
+fn is_gone(stored: &Record, roster: &Roster) -> bool {
+    let Some(holder) = &stored.holder else { return false };
+    let absence = roster.entry(&holder.name).and_then(|entry| roster.absence(entry));
+    absence.is_some_and(|absence| absence >= TAKE_AFTER)
+}
+
+const fn vote_of(tenure: Tenure) -> Vote {
+    Vote { seat: tenure.seat, epoch: tenure.epoch }
+}
