--- /dev/null
+++ b/crates/cli/tests/common/mod.rs
@@ -0,0 +1,117 @@
+//! The program under test and a stand-in store on loopback.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use ebonypass_standin::serve;
+use ebonypass_standin::store::Store;
+use trillium_client::Client;
+use trillium_server_common::ServerHandle;
+use trillium_smol::ClientConfig;
+
+/// A small document without a fault.
+pub const POLICY: &str = r#"# Rounds in Zurich.
+schema = 1
+
+[[member]]
+name = "windelrunde"
+
+[[region]]
+name = "zurich"
+
+[[data_centre]]
+name = "zurich-1"
+region = "zurich"
+
+[[data_centre]]
+name = "zurich-2"
+region = "zurich"
+
+[[service]]
+name = "rounds"
+members = ["windelrunde"]
+slots = 3
+connections = 400
+targets = { zurich-1 = 2, zurich-2 = 2 }
+
+[[service.kind]]
+name = "lookup"
+idempotent = true
+deadline_ms = 500
+"#;
+
+/// A stand-in store in this process.
+pub struct Server {
+    pub address: SocketAddr,
+    handle: ServerHandle,
+}
+
+impl Server {
+    pub fn start() -> Server {
+        smol::block_on(async {
+            let any = "127.0.0.1:0".parse().expect("address");
+            let handle = serve::start(any, Store::default().handler()).await.expect("listens");
+            Server { address: serve::address(&handle).await, handle }
+        })
+    }
+
+    /// Sets a fault of the store.
+    pub fn fault(&self, body: &str) {
+        let url = format!("http://{}/fault", self.address);
+        let client = Client::new(ClientConfig::new());
+        let status = smol::block_on(async {
+            let conn = client.post(url.as_str()).with_body(body.to_owned()).await.expect("answers");
+            conn.status()
+        });
+        assert!(status.is_some_and(|status| status.is_success()), "{status:?}");
+    }
+
+    pub fn close(self) {
+        smol::block_on(async { self.handle.shut_down().await });
+    }
+}
+
+/// A folder that is removed when the value is dropped.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new() -> Folder {
+        let name = format!("ebonypass-cli-{}-{:016x}", std::process::id(), fastrand::u64(..));
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path).expect("creates a folder");
+        Folder(path)
+    }
+
+    pub fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).expect("writes a file");
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Runs `ebonypass` with `words`.
+pub fn run<S: AsRef<std::ffi::OsStr>>(words: impl IntoIterator<Item = S>) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ebonypass"));
+    command.args(words).output().expect("runs")
+}
+
+/// Submits `file` as `operator`, with further `words`.
+pub fn submit(server: &Server, file: &Path, operator: &str, words: &[&str]) -> Output {
+    let address = server.address.to_string();
+    let mut all = vec!["submit", file.to_str().expect("a path"), "--store", &address];
+    all.extend(["--operator", operator]);
+    all.extend(words);
+    run(all)
+}
+
+/// What a run printed to its standard output.
+pub fn printed(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
