Take the predicted wait 2.25 times and compare only settled kinds

Ruled out: late detection (suspects are found 60 to 100 ms after the start of a straggle, near the 99th percentile of a healthy answer). Change: the ratio counts only for kinds with 128 samples and one answer counts for 4 at most; the predicted wait is taken 2.25 times, was 1.5.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -6,8 +6,10 @@
 use crate::queue::LaneId;
 use crate::time::{Instant, Span};
 
-/// The predicted wait is taken this many percent longer, since it is an average.
-const WAIT_PERCENT: u64 = 150;
+/// The predicted wait is taken this many percent longer, since it is an average. With 150 the
+/// replay of podilato-day has a p99.9 of 358 ms and 546 refusals, with 200 317 ms and 610, with 250
+/// 302 ms and 792; the stated bound is 316 ms.
+const WAIT_PERCENT: u64 = 225;
 
 impl Pool {
     /// Checks that there is room for the job and that its answer can come in time.
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -25,7 +25,7 @@
 /// Average of slot time over the kind's mean, in 1/256, that makes a target a suspect.
 const SUSPECT_RATIO: u32 = 256 * 5 / 2;
 /// Ratios above this are clamped, so that one answer does not rule the average.
-const MAX_RATIO: u32 = 256 * 16;
+const MAX_RATIO: u32 = 256 * 4;
 /// Answers before the average says anything.
 const RATIO_SAMPLES: u32 = 8;
 /// Probes in a row that re-admit a suspect.
@@ -298,13 +298,16 @@
         let place = &mut self.places[id];
         place.last_answer = Some(now);
         place.rest = Span::ZERO;
+        if time <= cost.p90() {
+            place.points = place.points.saturating_sub(RELIEF_POINTS);
+        }
+        if !cost.is_settled() {
+            return false;
+        }
         let ratio = time.as_micros().saturating_mul(256) / cost.mean().as_micros().max(1);
         let ratio = ratio.min(MAX_RATIO.into()) as u32;
         place.ratio = (place.ratio * 7 + ratio) / 8;
         place.answers = place.answers.saturating_add(1);
-        if time <= cost.p90() {
-            place.points = place.points.saturating_sub(RELIEF_POINTS);
-        }
         let is_over = place.ratio > SUSPECT_RATIO && place.answers >= RATIO_SAMPLES;
         is_over && self.suspect_slow(now, id)
     }
@@ -333,10 +336,6 @@
         if place.suspicion.is_some() || !place.is_ready() {
             return false;
         }
-        eprintln!(
-            "SUSPECT {now:?} {id:?} points {} ratio {} fl {}",
-            place.points, place.ratio, place.in_flight
-        );
         place.suspicion = Some(Suspicion {
             probe_at: now + FIRST_PROBE,
             interval: FIRST_PROBE,
--- a/crates/core/src/cost.rs
+++ b/crates/core/src/cost.rs
@@ -69,6 +69,11 @@
         self.count >= KNOWN_SAMPLES
     }
 
+    /// Whether enough attempts were seen to compare single ones with the mean.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.count >= QUANTILE_SAMPLES
+    }
+
     /// Whether the kind counts against the limit on long kinds. An unknown kind does.
     pub(crate) fn is_long(&self) -> bool {
         self.is_long
