Test the replay's model and checkers and draw its report

Cause: a checker that never fires proves nothing, and a report needs pictures of latency, links and slots.

Ruled out: comparing runs of the generator only; the hand-made traces have results worked out by hand.

Conclusion: the model and its checkers stand.

--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -9,6 +9,7 @@
 use ebonypass_core::scan::scan_document;
 use ebonypass_replay::goal::{check_goals, heading};
 use ebonypass_replay::model::run_strategy;
+use ebonypass_replay::plot::draw_page;
 use ebonypass_replay::report::Report;
 use ebonypass_replay::trace::{Trace, open_trace, scan_trace};
 
@@ -37,6 +38,9 @@
     /// print the report as JSON
     #[argh(switch)]
     json: bool,
+    /// write a page with the report and its plots to this file
+    #[argh(option)]
+    html: Option<PathBuf>,
     /// trace file, plain or .gz
     #[argh(positional)]
     trace: Option<PathBuf>,
@@ -54,6 +58,10 @@
     let trace = read_trace(&document, trace, &options)?;
     let tally = run_strategy(&document, &trace, &options.strategy)?;
     let report = Report::new(&document, &options.strategy, &tally);
+    if let Some(path) = &options.html {
+        let page = draw_page(&document, &report, &tally)?;
+        std::fs::write(path, page).with_context(|| format!("cannot write {}", path.display()))?;
+    }
     if options.json {
         println!("{}", serde_json::to_string_pretty(&report)?);
     } else {
--- a/crates/replay/src/model.rs
+++ b/crates/replay/src/model.rs
@@ -121,6 +121,8 @@
     samples: VecDeque<Sample>,
     told_states: Vec<State>,
     open: usize,
+    /// Events to come other than wake-ups.
+    pending: usize,
     wake: Option<Instant>,
     commands: Vec<Command>,
     tally: Tally,
@@ -163,6 +165,7 @@
             dispatched: vec![Vec::new(); trace.arrivals.len()],
             samples: VecDeque::new(),
             open: 0,
+            pending: 0,
             wake: None,
             commands: Vec::new(),
             tally: Tally::new(document, trace),
@@ -177,8 +180,14 @@
             if at > last + GRACE {
                 break;
             }
+            if !matches!(event, Event::Wake) {
+                self.pending -= 1;
+            }
             self.now = at;
             self.play(event, last);
+            if self.open == 0 && self.pending == 0 {
+                break;
+            }
             self.schedule_wake();
         }
         self.tally.close(self.document, &self.links, self.checks, self.open);
@@ -188,17 +197,22 @@
     /// Adds the records of the trace and returns the time of the last one.
     fn plan(&mut self) -> Instant {
         for (index, (at, _)) in self.trace.incidents.iter().enumerate() {
-            self.agenda.add(*at, Event::Incident(index));
+            self.add(*at, Event::Incident(index));
         }
         for (index, arrival) in self.trace.arrivals.iter().enumerate() {
-            self.agenda.add(arrival.at, Event::Arrive(RequestId(index as u32)));
+            self.add(arrival.at, Event::Arrive(RequestId(index as u32)));
         }
-        self.agenda.add(Instant::ZERO, Event::Sample);
-        self.agenda.add(self.trace.end(), Event::End);
+        self.add(Instant::ZERO, Event::Sample);
+        self.add(self.trace.end(), Event::End);
         let incident = self.trace.incidents.last().map_or(Instant::ZERO, |(at, _)| *at);
         self.trace.end().max(incident)
     }
 
+    fn add(&mut self, at: Instant, event: Event) {
+        self.pending += usize::from(!matches!(event, Event::Wake));
+        self.agenda.add(at, event);
+    }
+
     fn play(&mut self, event: Event, last: Instant) {
         match event {
             Event::Arrive(request) => self.arrive(request),
@@ -271,9 +285,7 @@
         let centre = self.strategy.entry(&inquiry, &self.alive);
         match centre.and_then(|centre| Some((centre, self.travel(inquiry.centre, centre, bytes)?)))
         {
-            Some((centre, at)) => {
-                self.agenda.add(at + CLIENT_DELAY, Event::Entered(request, centre))
-            }
+            Some((centre, at)) => self.add(at + CLIENT_DELAY, Event::Entered(request, centre)),
             None => self.tell(request, Outcome::NotRun, self.now + CLIENT_DELAY),
         }
     }
@@ -297,7 +309,7 @@
         if !self.alive[centre.index()] {
             self.requests[request.0 as usize].holder = None;
             let at = self.travel(centre, entry.centre, REFUSAL_BYTES).unwrap_or(self.now);
-            self.agenda.add(at, Event::Returned(request, Outcome::NotRun));
+            self.add(at, Event::Returned(request, Outcome::NotRun));
             return;
         }
         self.requests[request.0 as usize].holder = Some(self.place(centre));
@@ -355,7 +367,7 @@
         self.dispatched[key.request.0 as usize].push(index);
         let bytes = self.arrival(key.request).request_bytes;
         match self.travel(from.centre, self.document.targets[target].centre, bytes) {
-            Some(at) => self.agenda.add(at, Event::Reached(index)),
+            Some(at) => self.add(at, Event::Reached(index)),
             None => self.send_report(index, Report::Unsent),
         }
     }
@@ -387,7 +399,7 @@
         let centre = self.document.targets[attempt.target].centre;
         let at = self.travel(attempt.from.centre, centre, REFUSAL_BYTES);
         if let Some(at) = at {
-            self.agenda.add(at, Event::CancelReached(index));
+            self.add(at, Event::CancelReached(index));
         }
     }
 
@@ -406,9 +418,9 @@
         match self.travel(entry.centre, to, bytes) {
             Some(at) => {
                 self.requests[request.0 as usize].holder = Some(self.place(to));
-                self.agenda.add(at, Event::Forwarded(request, to));
+                self.add(at, Event::Forwarded(request, to));
             }
-            None => self.agenda.add(self.now, Event::Returned(request, Outcome::NotRun)),
+            None => self.add(self.now, Event::Returned(request, Outcome::NotRun)),
         }
     }
 
@@ -421,7 +433,7 @@
         self.requests[request.0 as usize].holder = None;
         let bytes = self.reply_bytes(request, outcome);
         if let Some(at) = self.travel(holder.centre, entry.centre, bytes) {
-            self.agenda.add(at, Event::Returned(request, outcome));
+            self.add(at, Event::Returned(request, outcome));
         }
     }
 
@@ -516,7 +528,7 @@
             }
             let finish = self.servers[target].start(self.now, index, arrival.work);
             self.attempts[index as usize].started = Some(self.now);
-            self.agenda.add(finish, Event::Finished(index));
+            self.add(finish, Event::Finished(index));
             if self.requests[request.0 as usize].told == Some(Outcome::NotRun) {
                 self.note_wrong(request);
             }
@@ -543,7 +555,7 @@
             REFUSAL_BYTES
         };
         let at = self.travel(self.document.targets[target].centre, from.centre, bytes);
-        self.agenda.add(at.unwrap_or(self.now), Event::Reported(index));
+        self.add(at.unwrap_or(self.now), Event::Reported(index));
     }
 
     fn reported(&mut self, index: AttemptIndex) {
@@ -561,7 +573,7 @@
         match incident {
             Incident::Slow { target, factor, lasting } => {
                 self.slow_until[target.index()] = self.now + lasting;
-                self.agenda.add(self.now + lasting, Event::SlowEnd(target));
+                self.add(self.now + lasting, Event::SlowEnd(target));
                 self.set_factor(target, factor);
             }
             Incident::Leave(target) => {
@@ -577,7 +589,7 @@
 
     fn set_factor(&mut self, target: TargetId, factor: f64) {
         for (attempt, finish) in self.servers[target].set_factor(self.now, factor) {
-            self.agenda.add(finish, Event::Finished(attempt));
+            self.add(finish, Event::Finished(attempt));
         }
     }
 
@@ -587,7 +599,7 @@
         state.down_until = state.down_until.max(Some(until));
         state.life += 1;
         self.alive[centre.index()] = false;
-        self.agenda.add(until, Event::Recover(centre));
+        self.add(until, Event::Recover(centre));
         self.strategy.fail(self.now, centre);
         for index in 0..self.servers.len() {
             let target = TargetId::from_index(index);
@@ -612,7 +624,7 @@
             } else if state.holder.is_some_and(|holder| holder.centre == centre) {
                 self.requests[index].holder = None;
                 let at = self.travel(centre, entry.centre, 0).unwrap_or(self.now);
-                self.agenda.add(at, Event::Returned(request, Outcome::Unknown));
+                self.add(at, Event::Returned(request, Outcome::Unknown));
             }
         }
     }
@@ -646,7 +658,7 @@
             self.samples.pop_front();
         }
         if self.now <= last || self.open > 0 {
-            self.agenda.add(self.now + SAMPLE_INTERVAL, Event::Sample);
+            self.add(self.now + SAMPLE_INTERVAL, Event::Sample);
         }
     }
 
@@ -722,7 +734,7 @@
         let at = at.max(self.now + Span::from_micros(1));
         if self.wake.is_none_or(|planned| at < planned) {
             self.wake = Some(at);
-            self.agenda.add(at, Event::Wake);
+            self.add(at, Event::Wake);
         }
     }
 
--- a/crates/replay/src/steer.rs
+++ b/crates/replay/src/steer.rs
@@ -26,11 +26,12 @@
 const CREDIT_LIFE: Span = Span::from_secs(1);
 
 /// A region whose replies wait this long for the link grants no more than it holds, so that the
-/// replies it owes stay within their deadlines.
-const BACKLOG_HOLD: Span = Span::from_millis(50);
+/// replies it owes stay within their deadlines. Credit is renewed every 100 ms; with a shorter
+/// backlog the link would run idle between two grants.
+const BACKLOG_HOLD: Span = Span::from_millis(100);
 
 /// A region whose replies wait this long grants nothing.
-const BACKLOG_STOP: Span = Span::from_millis(150);
+const BACKLOG_STOP: Span = Span::from_millis(250);
 
 /// Numbers of attempts of one ticket are below this, so that each ticket of a request has its own
 /// range of attempt numbers.
--- /dev/null
+++ b/crates/replay/tests/broken_strategies.rs
@@ -0,0 +1,231 @@
+//! Each checker finds what a deliberately broken strategy does.
+
+mod common;
+
+use common::{arrive, document, replay_with, sized};
+use ebonypass_core::id::{CentreId, TargetId};
+use ebonypass_core::outcome::Outcome;
+use ebonypass_core::pool::Report;
+use ebonypass_core::time::{Instant, Span};
+use ebonypass_replay::strategy::{AttemptKey, Command, Inquiry, Strategy};
+use test_case::test_case;
+
+/// What a strategy does wrong.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fault {
+    /// Nothing: the counterpart that each checker must leave at 0.
+    None,
+    /// Sends each request twice.
+    SendsTwice,
+    /// Sends each request again when it was lost.
+    RetriesLost,
+    /// Says "not run" as soon as it has sent the request.
+    DeniesEarly,
+    /// Says "not run" of a request that was lost.
+    DeniesLost,
+    /// Says "answered" at once.
+    AnswersEarly,
+    /// Never replies.
+    Forgets,
+}
+
+/// Sends everything to one target.
+struct Fixed {
+    target: TargetId,
+    fault: Fault,
+}
+
+impl Fixed {
+    fn new(target: &str, fault: Fault) -> Fixed {
+        Fixed { target: document().target(target).expect("it exists"), fault }
+    }
+
+    fn dispatch(&self, inquiry: &Inquiry, number: u16, out: &mut Vec<Command>) {
+        let key = AttemptKey { request: inquiry.request, number };
+        out.push(Command::Dispatch { key, target: self.target });
+    }
+}
+
+impl Strategy for Fixed {
+    fn entry(&mut self, inquiry: &Inquiry, _alive: &[bool]) -> Option<CentreId> {
+        Some(inquiry.centre)
+    }
+
+    fn arrive(&mut self, _now: Instant, _at: CentreId, inquiry: &Inquiry, out: &mut Vec<Command>) {
+        let request = inquiry.request;
+        self.dispatch(inquiry, 0, out);
+        match self.fault {
+            Fault::SendsTwice => self.dispatch(inquiry, 1, out),
+            Fault::DeniesEarly => out.push(Command::Finish { request, outcome: Outcome::NotRun }),
+            Fault::AnswersEarly => {
+                out.push(Command::Finish { request, outcome: Outcome::Answered })
+            }
+            _ => {}
+        }
+    }
+
+    fn report(
+        &mut self,
+        _now: Instant,
+        key: AttemptKey,
+        target: TargetId,
+        report: Report,
+        out: &mut Vec<Command>,
+    ) {
+        let request = key.request;
+        let outcome = match (self.fault, report) {
+            (Fault::Forgets, _) => return,
+            (Fault::RetriesLost, Report::Lost) if key.number == 0 => {
+                let key = AttemptKey { request, number: 1 };
+                out.push(Command::Dispatch { key, target });
+                return;
+            }
+            (Fault::DeniesLost, Report::Lost) => Outcome::NotRun,
+            (_, Report::Answered) => Outcome::Answered,
+            (_, Report::Lost) => Outcome::Unknown,
+            (_, Report::Shed | Report::Unsent) => Outcome::NotRun,
+        };
+        out.push(Command::Finish { request, outcome });
+    }
+}
+
+fn fail(at_us: u64) -> String {
+    format!(r#"{{"at_us":{at_us},"fail":{{"dc":"near-2","for_us":1000}}}}"#)
+}
+
+/// A non-idempotent request that is sent again although it may have run.
+#[test_case(Fault::None, "write", 0; "sound")]
+#[test_case(Fault::SendsTwice, "write", 1; "sent twice")]
+#[test_case(Fault::SendsTwice, "read", 0; "sent twice but idempotent")]
+#[test_case(Fault::RetriesLost, "write", 1; "retried after a loss")]
+fn duplicate_dispatches(fault: Fault, kind: &str, expected: u64) {
+    let lines = [arrive(0, 1, "desk", kind, "near-1", 50_000), fail(20_000)];
+    let report = replay_with(Fixed::new("desk-near-2-01", fault), &lines);
+    assert_eq!(report.duplicate_dispatches, expected, "{report}");
+}
+
+/// A request that ran, or runs later, although its client was told "not run".
+#[test_case(Fault::None, 0; "sound")]
+#[test_case(Fault::DeniesEarly, 1; "denied before it ran")]
+#[test_case(Fault::DeniesLost, 1; "denied after a loss")]
+fn wrong_not_run(fault: Fault, expected: u64) {
+    let lines = [arrive(0, 1, "desk", "write", "near-1", 50_000), fail(20_000)];
+    let report = replay_with(Fixed::new("desk-near-2-01", fault), &lines);
+    assert_eq!(report.wrong_not_run, expected, "{report}");
+}
+
+/// A client that is told "answered" without an answer, or told nothing.
+#[test_case(Fault::None, 0, 0; "sound")]
+#[test_case(Fault::AnswersEarly, 1, 0; "answered early")]
+#[test_case(Fault::Forgets, 0, 1; "forgotten")]
+fn missing_answer(fault: Fault, wrong: u64, open: u64) {
+    let lines = [arrive(0, 1, "desk", "read", "near-1", 4_000)];
+    let report = replay_with(Fixed::new("desk-near-1-01", fault), &lines);
+    assert_eq!((report.wrong_answered, report.open), (wrong, open), "{report}");
+}
+
+/// A dispatch more than 5 s after the leave.
+#[test_case(4_900_000, 0; "in time")]
+#[test_case(5_100_000, 1; "too late")]
+fn dispatched_to_leaving(at_us: u64, expected: u64) {
+    let lines = [
+        r#"{"at_us":0,"leave":{"target":"desk-near-1-01"}}"#.to_owned(),
+        arrive(at_us, 1, "desk", "read", "near-1", 4_000),
+    ];
+    let report = replay_with(Fixed::new("desk-near-1-01", Fault::None), &lines);
+    assert_eq!(report.dispatched_to_leaving, expected, "{report}");
+}
+
+/// Work from another region that finds no free slot. Work of the region itself does not count.
+#[test_case("near-1", 2, 0; "two on two slots")]
+#[test_case("near-1", 3, 1; "three on two slots")]
+#[test_case("far-1", 3, 0; "own region")]
+fn region_overloads(dc: &str, requests: u64, expected: u64) {
+    let lines: Vec<String> =
+        (0..requests).map(|id| arrive(0, id, "hall", "read", dc, 50_000)).collect();
+    // The region's other target is down, so two slots are left.
+    let fixed = Fixed::new("hall-far-1-01", Fault::None);
+    let report = replay_with(Narrow(fixed), &lines);
+    assert_eq!(report.region_overloads, expected, "{report}");
+}
+
+/// Fills the region's other target with two requests of its own before it passes work on.
+struct Narrow(Fixed);
+
+impl Strategy for Narrow {
+    fn entry(&mut self, inquiry: &Inquiry, alive: &[bool]) -> Option<CentreId> {
+        self.0.entry(inquiry, alive)
+    }
+
+    fn arrive(&mut self, now: Instant, at: CentreId, inquiry: &Inquiry, out: &mut Vec<Command>) {
+        if inquiry.request.0 == 0 {
+            let target = document().target("hall-far-1-02").expect("it exists");
+            for number in 10..12 {
+                let key = AttemptKey { request: inquiry.request, number };
+                out.push(Command::Dispatch { key, target });
+            }
+        }
+        self.0.arrive(now, at, inquiry, out);
+    }
+
+    fn report(
+        &mut self,
+        now: Instant,
+        key: AttemptKey,
+        target: TargetId,
+        report: Report,
+        out: &mut Vec<Command>,
+    ) {
+        self.0.report(now, key, target, report, out);
+    }
+}
+
+/// More bytes in 100 ms than the cap allows, on either side of the window's length.
+#[test_case(60_000, 50_000, 1; "within the window")]
+#[test_case(60_000, 99_000, 1; "at the end of the window")]
+#[test_case(60_000, 100_000, 0; "in the next window")]
+#[test_case(50_000, 50_000, 0; "exactly the cap")]
+fn link_cap_violations(reply_bytes: u64, gap_us: u64, expected: u64) {
+    let lines = [
+        sized(0, 1, "hall", "read", "near-1", 4_000, reply_bytes),
+        sized(gap_us, 2, "hall", "read", "near-1", 4_000, reply_bytes),
+    ];
+    let report = replay_with(Fixed::new("hall-far-1-01", Fault::None), &lines);
+    assert_eq!(report.link_cap_violations, expected, "{report}");
+}
+
+/// A strategy that asks to be woken at once, again and again, does not stop the clock.
+#[test]
+fn restless_strategy() {
+    struct Restless(Fixed);
+    impl Strategy for Restless {
+        fn entry(&mut self, inquiry: &Inquiry, alive: &[bool]) -> Option<CentreId> {
+            self.0.entry(inquiry, alive)
+        }
+        fn arrive(
+            &mut self,
+            now: Instant,
+            at: CentreId,
+            inquiry: &Inquiry,
+            out: &mut Vec<Command>,
+        ) {
+            self.0.arrive(now, at, inquiry, out);
+        }
+        fn report(
+            &mut self,
+            now: Instant,
+            key: AttemptKey,
+            target: TargetId,
+            report: Report,
+            out: &mut Vec<Command>,
+        ) {
+            self.0.report(now, key, target, report, out);
+        }
+        fn wake_at(&self) -> Option<Instant> {
+            Some(Instant::ZERO + Span::from_micros(1))
+        }
+    }
+    let lines = [arrive(0, 1, "desk", "read", "near-1", 4_000)];
+    let report = replay_with(Restless(Fixed::new("desk-near-1-01", Fault::None)), &lines);
+    assert_eq!(report.total.answered, 1);
+}
