--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -62,6 +62,11 @@
     EntryId(u32)
 }
 
+key! {
+    /// A source of measurements, in the order in which it was added.
+    SourceId(u32)
+}
+
 /// A vector whose positions are keys of one type.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Arena<K, V> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 mod check;
 pub mod choice;
+pub mod credit;
 pub mod evidence;
 pub mod fault;
 pub mod id;
--- /dev/null
+++ b/crates/core/tests/credit.rs
@@ -0,0 +1,169 @@
+//! Credit between regions, and the choice of a region.
+
+mod explore;
+
+use ebonypass_core::credit::{CREDIT, Granter, Place, Remote, Wallet, choose_place};
+use ebonypass_core::id::{EntryId, RegionId};
+use ebonypass_core::time::{Instant, Span};
+use explore::{Clock, Word, draw, explore};
+use test_case::test_case;
+
+const START: Instant = Instant::from_micros(1_000_000);
+
+const fn remote(region: u16, percent: u32, left: u32) -> Remote {
+    Remote { region: RegionId(region), percent, left, is_in_time: true }
+}
+
+const LATE: Remote = Remote { is_in_time: false, ..remote(2, 0, 5) };
+
+// Work that leaves its region without need or without credit overloads another one (P2).
+#[test_case(0, true, &[], Place::Home; "no other region")]
+#[test_case(19, true, &[remote(1, 20, 3)], Place::Remote(RegionId(1)); "planned share")]
+#[test_case(20, true, &[remote(1, 20, 3)], Place::Home; "rest of the share")]
+#[test_case(25, true, &[remote(1, 20, 3), remote(2, 10, 3)], Place::Remote(RegionId(2)); "second share")]
+#[test_case(0, true, &[remote(1, 20, 0)], Place::Home; "share without credit")]
+#[test_case(50, false, &[remote(1, 0, 0), remote(2, 0, 1)], Place::Remote(RegionId(2)); "spill over")]
+#[test_case(50, false, &[remote(1, 0, 0)], Place::Refused; "spill without credit")]
+#[test_case(50, false, &[LATE], Place::Refused; "too far for the deadline")]
+fn place(roll: u32, can_serve: bool, remotes: &[Remote], place: Place) {
+    assert_eq!(choose_place(roll, can_serve, remotes), place);
+}
+
+// Credit that outlives its slots overloads the region that gave it.
+#[test]
+fn credit_expiry() {
+    let mut wallet = Wallet::new();
+    assert!(!wallet.take(START));
+    let round = wallet.ask(START);
+    wallet.note_credit(round, 2, CREDIT);
+    assert!(wallet.take(START) && wallet.take(START) && !wallet.take(START));
+    wallet.put();
+    assert_eq!(wallet.left(START), 1);
+    assert_eq!(wallet.left(START + CREDIT), 0);
+    let late = wallet.ask(START + CREDIT);
+    wallet.note_credit(round, 9, CREDIT);
+    assert_eq!(wallet.left(START + CREDIT), 0);
+    wallet.note_credit(late, 2, CREDIT);
+    assert_eq!(wallet.left(START + CREDIT), 1);
+}
+
+// Slots that are granted to one entry must not be granted to another.
+#[test]
+fn granted_once() {
+    let (one, other) = (EntryId(1), EntryId(2));
+    let mut granter = Granter::new();
+    assert_eq!(granter.grant(START, one, 4, 6), 4);
+    assert_eq!(granter.grant(START, other, 4, 6), 2);
+    granter.start(one);
+    assert_eq!(granter.grant(START, other, 4, 5), 2);
+    let late = START + CREDIT.times(2);
+    assert_eq!(granter.grant(late, other, 9, 5), 5);
+    granter.end(one);
+    assert_eq!(granter.grant(late, one, 9, 6), 1);
+}
+
+const SLOTS: u32 = 6;
+const BORROWERS: usize = 3;
+
+/// A message under way and the time by which it has arrived or is lost.
+enum Message {
+    Need(usize, u64),
+    Credit(usize, u64, u32),
+    Start(usize, Instant),
+}
+
+struct World {
+    real: Instant,
+    granter: Granter,
+    wallets: Vec<Wallet>,
+    running: Vec<u32>,
+    bag: Vec<Message>,
+    ignores_expiry: bool,
+}
+
+impl World {
+    fn step(&mut self, word: Word) {
+        let number = word.pick(BORROWERS);
+        let now = Clock::new(number).read(self.real);
+        match word.op(8) {
+            0 => {
+                self.real = self.real + word.span(Span::from_secs(2));
+                // A request arrives within its one-way latency, or its connection fails.
+                let real = self.real;
+                self.bag.retain(|message| !matches!(message, Message::Start(_, by) if real > *by));
+            }
+            1 => {
+                let round = self.wallets[number].ask(now);
+                self.bag.push(Message::Need(number, round));
+            }
+            2 | 3 => {
+                let is_covered = self.wallets[number].take(now)
+                    || (self.ignores_expiry && self.wallets[number].left(START) > 0);
+                if is_covered {
+                    let by = self.real + Span::from_millis(35);
+                    self.bag.push(Message::Start(number, by));
+                }
+            }
+            4 if self.running[number] > 0 => {
+                self.running[number] -= 1;
+                self.granter.end(EntryId(number as u32));
+                self.wallets[number].put();
+            }
+            5 => drop(draw(&mut self.bag, word)),
+            _ => {
+                if let Some(message) = draw(&mut self.bag, word) {
+                    self.deliver(message);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Need(number, round) => {
+                let now = Clock::new(BORROWERS).read(self.real);
+                let free = SLOTS.saturating_sub(self.running.iter().sum());
+                let count = self.granter.grant(now, EntryId(number as u32), SLOTS, free);
+                self.bag.push(Message::Credit(number, round, count));
+            }
+            Message::Credit(number, round, count) => {
+                self.wallets[number].note_credit(round, count, CREDIT);
+            }
+            Message::Start(number, _) => {
+                self.running[number] += 1;
+                self.granter.start(EntryId(number as u32));
+            }
+        }
+    }
+}
+
+fn run(words: &[Word], ignores_expiry: bool) -> Result<(), String> {
+    let mut world = World {
+        real: START,
+        granter: Granter::new(),
+        wallets: vec![Wallet::new(); BORROWERS],
+        running: vec![0; BORROWERS],
+        bag: Vec::new(),
+        ignores_expiry,
+    };
+    for &word in words {
+        world.step(word);
+        if world.running.iter().sum::<u32>() > SLOTS {
+            return Err(format!("{:?} running in {SLOTS} slots", world.running));
+        }
+    }
+    Ok(())
+}
+
+// More remote requests than free slots overload the region that granted them (P2).
+#[test]
+fn no_overload() {
+    explore(1_000, 300, |words| run(words, false)).unwrap();
+}
+
+// Shows that `no_overload` sees a borrower that does not look at the expiry.
+#[test]
+fn broken_credit() {
+    let fault = explore(1_000, 300, |words| run(words, true)).unwrap_err();
+    assert!(fault.contains("running in"), "{fault}");
+}
--- /dev/null
+++ b/crates/core/tests/shift.rs
@@ -0,0 +1,106 @@
+//! Steps of planned shifts.
+
+use ebonypass_core::id::{RegionId, ServiceId};
+use ebonypass_core::policy::{Document, Region, Service, Shift, ShiftLimit};
+use ebonypass_core::shift::{Move, Plan, Step, Stepper};
+use ebonypass_core::time::{Instant, Span};
+use test_case::test_case;
+
+const START: Instant = Instant::from_micros(1_000_000);
+const INTERVAL: Span = Span::from_secs(30);
+const DUE: Instant = Instant::from_micros(31_000_000);
+const REGIONS: [&str; 3] = ["zurich", "geneva", "lugano"];
+
+/// A document that shifts `percents` of the service's traffic from the first region to the others.
+fn document(percents: &[u32]) -> Document {
+    let shift_limit = ShiftLimit { max_step_percent: 10, step_interval: INTERVAL };
+    let mut document = Document { shift_limit, ..Document::default() };
+    for name in REGIONS {
+        document.regions.push(Region { name: name.into(), seats: 4 });
+    }
+    let service = document.services.push(Service {
+        name: "rounds".into(),
+        members: Vec::new(),
+        slots: 3,
+        connections: 400,
+        placement: Vec::new(),
+        kinds: Vec::new(),
+    });
+    for (index, &percent) in percents.iter().enumerate() {
+        let to = RegionId(1 + index as u16);
+        document.shifts.push(Shift { service, from: RegionId(0), to, percent });
+    }
+    document
+}
+
+fn plan(percents: &[(usize, u32)]) -> Plan {
+    let steps = percents.iter().map(|&(to, percent)| Step {
+        service: "rounds".into(),
+        from: REGIONS[0].into(),
+        to: REGIONS[to].into(),
+        percent,
+    });
+    Plan { epoch: 1, steps: steps.collect() }
+}
+
+fn ends(moves: &[Move]) -> Vec<(u16, u32, u16)> {
+    moves.iter().map(|one| (one.to.0, one.after, one.receiver().0)).collect()
+}
+
+// A larger step lands on cold caches all at once; a move home needs room at home.
+#[test_case(&[], &[25], &[(1, 10, 1)]; "first step")]
+#[test_case(&[(1, 20)], &[25], &[(1, 25, 1)]; "last step")]
+#[test_case(&[(1, 25)], &[25], &[]; "arrived")]
+#[test_case(&[(1, 25)], &[], &[(1, 15, 0)]; "removed from the policy")]
+#[test_case(&[(1, 50)], &[60, 10], &[(1, 60, 1)]; "one move at a time")]
+#[test_case(&[(1, 60)], &[40, 60], &[(1, 50, 0)]; "reduction first")]
+#[test_case(&[(1, 100)], &[100, 10], &[]; "never above the whole")]
+fn step_size(standing: &[(usize, u32)], goal: &[u32], moves: &[(u16, u32, u16)]) {
+    let document = document(goal);
+    let stepper = Stepper::new(START, &plan(standing), &document);
+    let next = stepper.next_moves(DUE, &document, false, |_| true);
+    assert_eq!(ends(&next), moves);
+}
+
+// A step before its time, without credit or without measurements overloads a region (P2).
+#[test_case(START + Span::from_secs(29), false, true; "a new steward waits")]
+#[test_case(DUE, true, true; "frozen")]
+#[test_case(DUE, false, false; "no credit")]
+fn no_step(now: Instant, is_frozen: bool, is_covered: bool) {
+    let document = document(&[25]);
+    let stepper = Stepper::new(START, &plan(&[]), &document);
+    assert_eq!(stepper.next_moves(now, &document, is_frozen, |_| is_covered), []);
+}
+
+// Two steps within one interval are one step of twice the size.
+#[test]
+fn step_interval() {
+    let document = document(&[25]);
+    let mut stepper = Stepper::new(START, &plan(&[]), &document);
+    let mut now = START;
+    let mut steps = Vec::new();
+    for _ in 0..200 {
+        now = now + Span::from_secs(1);
+        let moves = stepper.next_moves(now, &document, false, |_| true);
+        if !moves.is_empty() {
+            stepper.note_written(now, &moves);
+            steps.push((now.since(START).as_millis() / 1_000, moves[0].after));
+        }
+    }
+    assert_eq!(steps, [(30, 10), (60, 20), (90, 25)]);
+}
+
+// The written plan must say what the moves did, or entries would steer otherwise.
+#[test]
+fn written_plan() {
+    let document = document(&[5]);
+    let mut stepper = Stepper::new(START, &plan(&[(2, 10)]), &document);
+    let moves = [
+        Move { service: ServiceId(0), from: RegionId(0), to: RegionId(1), before: 0, after: 5 },
+        Move { service: ServiceId(0), from: RegionId(0), to: RegionId(2), before: 10, after: 0 },
+    ];
+    let written = stepper.plan_with(7, &document, &moves);
+    assert_eq!(written, Plan { epoch: 7, ..plan(&[(1, 5)]) });
+    stepper.note_written(DUE, &moves);
+    assert_eq!(stepper.percent(ServiceId(0), RegionId(0), RegionId(1)), 5);
+}
