--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,8 @@
 mod cost;
 mod demand;
 mod dispatch;
+pub mod choice;
+pub mod credit;
 pub mod evidence;
 pub mod fault;
 pub mod id;
