--- a/crates/standin/src/check.rs
+++ b/crates/standin/src/check.rs
@@ -72,6 +72,8 @@
     pub member: String,
     /// One row for each kind.
     pub rows: Vec<Row>,
+    /// Attempts without an answer by code, and by "lost" and "cut" where no code came.
+    pub codes: BTreeMap<String, u64>,
     /// Requests that were not started because too many were open.
     pub not_started: u64,
     /// Windows of 100 ms in which a link carried more than its cap.
@@ -101,12 +103,24 @@
         Finding {
             member: self.reports.first().map_or_else(String::new, |report| report.member.clone()),
             rows: rows.into_values().collect(),
+            codes: self.codes(),
             not_started: self.reports.iter().map(|report| report.not_started).sum(),
             link_violations: links.violations,
             highest_use: links.highest_use,
         }
     }
 
+    fn codes(&self) -> BTreeMap<String, u64> {
+        let requests = self.reports.iter().flat_map(|report| &report.requests);
+        let attempts = requests.flat_map(|request| &request.attempts);
+        let mut codes = BTreeMap::new();
+        for attempt in attempts.filter(|attempt| attempt.outcome != Outcome::Answered) {
+            let code = attempt.detail.split(':').next().unwrap_or_default();
+            *codes.entry(code.to_owned()).or_default() += 1;
+        }
+        codes
+    }
+
     fn runs_by_key(&self) -> HashMap<&str, Vec<&Run>> {
         let mut runs: HashMap<&str, Vec<&Run>> = HashMap::new();
         for run in &self.runs {
@@ -281,6 +295,13 @@
             sum(|row| row.seen.unreachable),
             self.not_started,
             self.highest_use * 100.0,
-        )
+        )?;
+        let codes = self.codes.iter().map(|(code, count)| format!("{code} {count}"));
+        writeln!(f, "{}: attempts without an answer: {}", self.member, join(codes))
     }
 }
+
+fn join(parts: impl Iterator<Item = String>) -> String {
+    let joined = parts.collect::<Vec<_>>().join(", ");
+    if joined.is_empty() { "none".to_owned() } else { joined }
+}
