--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod settings;
 pub mod stop;
 pub mod store;
+pub mod submit;
 pub mod sync;
 pub mod target;
 pub mod tls;
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -1,2 +1,103 @@
-//! Placeholder until the program lands.
-fn main() {}
+//! `ebonypass-replay`: replays a trace and reports what came of it.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use anyhow::{Context, bail};
+use argh::FromArgs;
+use ebonypass_core::policy::Document;
+use ebonypass_core::scan::scan_document;
+use ebonypass_replay::goal::{check_goals, heading};
+use ebonypass_replay::model::run_strategy;
+use ebonypass_replay::report::Report;
+use ebonypass_replay::trace::{Trace, open_trace, scan_trace};
+
+/// Replays a trace through a steering strategy under a virtual clock.
+#[derive(Debug, FromArgs)]
+struct Options {
+    /// policy document
+    #[argh(option)]
+    policy: Option<PathBuf>,
+    /// ebonypass, round-robin, least-loaded or independent
+    #[argh(option, default = "\"ebonypass\".to_owned()")]
+    strategy: String,
+    /// measure every stated outcome on the recorded traces in this directory and on all scenarios;
+    /// the exit code is 1 if one is not met
+    #[argh(option)]
+    check: Option<PathBuf>,
+    /// seed of the scenarios for --check (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// leave out the requests of this kind
+    #[argh(option)]
+    without_kind: Option<String>,
+    /// leave out slow targets
+    #[argh(switch)]
+    without_slow: bool,
+    /// print the report as JSON
+    #[argh(switch)]
+    json: bool,
+    /// trace file, plain or .gz
+    #[argh(positional)]
+    trace: Option<PathBuf>,
+}
+
+fn main() -> anyhow::Result<ExitCode> {
+    let options: Options = argh::from_env();
+    if let Some(directory) = &options.check {
+        return check(directory, options.seed);
+    }
+    let (Some(policy), Some(trace)) = (&options.policy, &options.trace) else {
+        bail!("--policy and a trace, or --check, must be given; see --help");
+    };
+    let document = read_policy(policy)?;
+    let trace = read_trace(&document, trace, &options)?;
+    let tally = run_strategy(&document, &trace, &options.strategy)?;
+    let report = Report::new(&document, &options.strategy, &tally);
+    if options.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        print!("{report}");
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn check(directory: &Path, seed: u64) -> anyhow::Result<ExitCode> {
+    let goals = check_goals(directory, seed)?;
+    println!("{}", heading());
+    for goal in &goals {
+        println!("{goal}");
+    }
+    let missed = goals.iter().filter(|goal| !goal.is_met).count();
+    println!("{} stated outcomes met, {missed} not met", goals.len() - missed);
+    Ok(if missed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn read_policy(path: &Path) -> anyhow::Result<Document> {
+    let text =
+        std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
+    match scan_document(&text) {
+        Ok(document) => Ok(document),
+        Err(faults) => {
+            let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+            bail!("{} has faults:\n{}", path.display(), faults.join("\n"))
+        }
+    }
+}
+
+fn read_trace(document: &Document, path: &Path, options: &Options) -> anyhow::Result<Trace> {
+    let mut trace = match scan_trace(document, open_trace(path)?) {
+        Ok(trace) => trace,
+        Err(bad) => {
+            let lines: Vec<String> = bad.iter().take(20).map(ToString::to_string).collect();
+            bail!("{} has {} bad lines:\n{}", path.display(), bad.len(), lines.join("\n"))
+        }
+    };
+    if let Some(kind) = &options.without_kind {
+        trace = trace.without_kind(document, kind);
+    }
+    if options.without_slow {
+        trace = trace.without_slow();
+    }
+    Ok(trace)
+}
