Add the operators' console

Cause: operators without the command line need forms that produce the one validated policy document. Ruled out: a form library (none is pinned); JavaScript; checking fields apart from the document, which would be a second set of rules. Conclusion: to be tested next; pages not looked at.

--- a/crates/console/src/main.rs
+++ b/crates/console/src/main.rs
@@ -1,2 +1,58 @@
-//! Placeholder until the program lands.
-fn main() {}
+//! `ebonypass-console`: operators' forms over HTTP.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use ebonypass_console::Server;
+use ebonypass_console::settings::Settings;
+use ebonypass_node::event::{self, Event, note};
+use ebonypass_node::{settings, stop};
+
+/// Serves HTML forms for the policy document and the deployment's status.
+#[derive(FromArgs)]
+struct Arguments {
+    /// settings file (TOML); console.example.toml documents it
+    #[argh(positional)]
+    settings: PathBuf,
+
+    /// check the settings and end
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let settings: Settings = match settings::load(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(fault) => {
+            eprintln!("ebonypass-console: {fault}");
+            return ExitCode::from(2);
+        }
+    };
+    if arguments.check {
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            note(Event::Fatal, &error);
+            eprintln!("ebonypass-console: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(settings: Settings) -> anyhow::Result<()> {
+    event::start(settings.log.filter(), settings.log.file.as_deref())?;
+    smol::block_on(async {
+        let signal = smol::spawn(stop::signalled());
+        let server = Server::start(settings).await?;
+        note(Event::Started, server.address());
+        signal.await?;
+        note(Event::Stopping, "signal");
+        server.close().await;
+        note(Event::Stopped, "");
+        Ok(())
+    })
+}
