Tell truly what became of each attempt at a target

Cause: "not run" and complete replies depend on what the target's connection did, which the HTTP client does not tell. Change: a reply without length or last chunk is truncated; a connection is kept only if exactly its reply was read from it; replies above 256 KiB are streamed and fail where they are cut or stall; late replies die with their connection.

--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -36,7 +36,7 @@
     }
     let body = match reply.body {
         Body::Whole(bytes) => bytes.into(),
-        Body::Stream { length, reader } => trillium::Body::new_streaming(reader, Some(length)),
+        Body::Stream { length, reader } => trillium::Body::new_streaming(reader, length),
     };
     conn.with_status(reply.head.status)
         .with_response_header(OUTCOME, outcome)
--- a/crates/entry/tests/fake/mod.rs
+++ b/crates/entry/tests/fake/mod.rs
@@ -6,7 +6,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -29,10 +29,17 @@
     pub body: Vec<u8>,
 }
 
-/// Reads requests of one connection and answers each with the bytes of `answer`; none closes it.
+/// What follows a reply on its connection.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum End {
+    Keep,
+    Close,
+}
+
+/// Reads requests of each connection and answers each with the bytes of `answer`; none closes it.
 fn serve(
     listener: TcpListener,
-    answer: impl Fn(Request) -> Option<Vec<u8>> + Send + Sync + 'static,
+    answer: impl Fn(Request) -> Option<(Vec<u8>, End)> + Send + Sync + 'static,
 ) {
     let answer = Arc::new(answer);
     thread::spawn(move || {
@@ -41,8 +48,8 @@
             let answer = answer.clone();
             thread::spawn(move || {
                 while let Some(request) = read_request(&mut stream) {
-                    let Some(bytes) = answer(request) else { return };
-                    if stream.write_all(&bytes).is_err() {
+                    let Some((bytes, end)) = answer(request) else { return };
+                    if stream.write_all(&bytes).is_err() || end == End::Close {
                         return;
                     }
                 }
@@ -107,7 +114,7 @@
         let address = listener.local_addr().expect("address");
         let store = Store { address, state: Arc::default() };
         let state = store.state.clone();
-        serve(listener, move |request| Some(answer_store(&state, &request)));
+        serve(listener, move |request| Some((answer_store(&state, &request), End::Keep)));
         store
     }
 
@@ -174,9 +181,6 @@
     }
 }
 
-/// What a target does with a run request: the bytes of its reply, or none to close.
-pub type Behave = Arc<Mutex<Box<dyn Fn(&Request) -> Option<Vec<u8>> + Send>>>;
-
 /// A target.
 #[derive(Clone)]
 pub struct Target {
@@ -186,6 +190,7 @@
     cancels: Arc<Mutex<Vec<String>>>,
     leaving: Arc<AtomicU32>,
     delay_ms: Arc<AtomicU64>,
+    closes: Arc<AtomicBool>,
 }
 
 impl Target {
@@ -203,9 +208,15 @@
             cancels: Arc::default(),
             leaving: Arc::default(),
             delay_ms: Arc::default(),
+            closes: Arc::default(),
         };
         let own = target.clone();
-        serve(listener, move |request| own.answer(&request, &answer));
+        serve(listener, move |request| {
+            let is_run = request.path.starts_with("/run/");
+            let closes = is_run && own.closes.load(Ordering::Relaxed);
+            let end = if closes { End::Close } else { End::Keep };
+            Some((own.answer(&request, &answer)?, end))
+        });
         target
     }
 
@@ -245,6 +256,11 @@
         self.delay_ms.store(delay.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// Closes the connection after each reply to a run.
+    pub fn close_after_reply(&self) {
+        self.closes.store(true, Ordering::Relaxed);
+    }
+
     pub fn set_leaving(&self) {
         self.leaving.store(1, Ordering::Relaxed);
     }
--- a/crates/entry/tests/serve.rs
+++ b/crates/entry/tests/serve.rs
@@ -169,3 +169,20 @@
     assert_eq!(got.expect("reply").summary(), "502 unknown EP-3005");
     assert!(start.elapsed() < Duration::from_millis(500), "{:?}", start.elapsed());
 }
+
+/// A reply that its target cuts short. Short ones become "unknown"; of long ones the head is out
+/// already, so the connection ends before the stated length. Neither looks complete.
+#[test_case(1_000, 900, Some("502 unknown EP-3001"); "short")]
+#[test_case(300_000, 290_000, None; "long")]
+#[test_case(300_000, 300_000, Some("200 answered"); "long and whole")]
+fn cut_reply(stated: usize, sent: usize, expected: Option<&str>) {
+    let target = Target::new("rounds-zurich-1-01", move |_| {
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {stated}\r\n\r\n");
+        Some([head.into_bytes(), vec![b'x'; sent]].concat())
+    });
+    target.close_after_reply();
+    let world = World::new("cut-reply", &[&target], "");
+    let got = log(world.address(), "n1");
+    assert_eq!(got.as_ref().map(fake::Got::summary).as_deref(), expected);
+    assert_eq!(target.runs().len(), 1);
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod event;
 pub mod metric;
 pub mod peer;
+mod reader;
 pub mod settings;
 pub mod stop;
 pub mod store;
--- a/crates/node/src/target.rs
+++ b/crates/node/src/target.rs
@@ -9,13 +9,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_lite::{AsyncRead, future};
+use futures_lite::{AsyncRead, AsyncReadExt, future};
 use serde::Deserialize;
 use trillium_client::{Client, Conn, KnownHeaderName};
 
 use crate::connection::{Connection, Connections, Handover};
 use crate::trace;
 
+pub use crate::reader::Reader;
+
 /// Replies up to this size are read whole before anybody sees them.
 pub const WHOLE_REPLY: u64 = 256 * 1024;
 
@@ -88,8 +90,8 @@
     Whole(Vec<u8>),
     /// A body longer than [`WHOLE_REPLY`] that is being read. Reading fails if it is cut short.
     Stream {
-        /// Its length in bytes.
-        length: u64,
+        /// Its length in bytes, unless the target sends it in chunks.
+        length: Option<u64>,
         /// Its bytes.
         reader: B,
     },
@@ -214,10 +216,13 @@
             let connection = self.connections.open(address, MAX_IDLE).await.ok()?;
             let mut conn = self.send(address, connection.clone(), build, path).await.ok()?;
             let status = conn.status()? as u16;
-            let length = scan_length(&conn).ok()?;
+            let framing = scan_framing(&conn).ok()?;
             let may_keep = is_kept(&conn);
             let body = conn.response_body().with_max_len(MAX_SMALL).read_bytes().await.ok()?;
-            if may_keep && connection.is_clean(length) {
+            if let Framing::Length(length) = framing
+                && may_keep
+                && connection.is_clean(length)
+            {
                 self.connections.keep(address, connection);
             }
             Some((status, body))
@@ -254,24 +259,19 @@
         let sent = self.send(address, connection.clone(), build, &path).await;
         let mut conn = sent.map_err(Error::Lost)?;
         let head = scan_head(&conn);
-        let length = scan_length(&conn)?;
-        if length > WHOLE_REPLY {
-            let reader = conn.take_response_body().ok_or(Error::Truncated)?;
-            let body =
-                Body::Stream { length, reader: Reader { reader: Box::pin(reader), rest: length } };
-            return Ok(Reply { head, body });
-        }
+        let framing = scan_framing(&conn)?;
         let shed = head.status == 503 && conn.response_headers().get_str("x-not-run") == Some("1");
         let may_keep = is_kept(&conn);
-        let body = conn.response_body().with_max_len(WHOLE_REPLY).read_bytes().await;
-        let body = body.map_err(|_| Error::Truncated)?;
-        if body.len() as u64 != length {
-            return Err(Error::Truncated);
-        }
-        if may_keep && connection.is_clean(length) {
+        let reader = conn.take_response_body().ok_or(Error::Truncated)?;
+        let body = read_body(Reader::new(reader, framing), framing).await?;
+        if let (Body::Whole(bytes), Framing::Length(length)) = (&body, framing)
+            && may_keep
+            && bytes.len() as u64 == length
+            && connection.is_clean(length)
+        {
             self.connections.keep(address, connection);
         }
-        if shed { Err(Error::Shed) } else { Ok(Reply { head, body: Body::Whole(body) }) }
+        if shed { Err(Error::Shed) } else { Ok(Reply { head, body }) }
     }
 }
 
@@ -330,15 +330,52 @@
     Head { status, headers }
 }
 
-/// The length that the reply states. A reply without one ends where its connection ends, so that a
-/// cut would look complete; it counts as truncated.
-fn scan_length(conn: &Conn) -> Result<u64, Error> {
+/// How the end of a reply's body is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// By its length.
+    Length(u64),
+    /// By a last chunk.
+    Chunks,
+}
+
+/// The reply's framing. A reply without one ends where its connection ends, so that a cut would
+/// look complete; it counts as truncated.
+fn scan_framing(conn: &Conn) -> Result<Framing, Error> {
     let status = conn.status().map_or(0, |status| status as u16);
     if matches!(status, 204 | 304) {
-        return Ok(0);
+        return Ok(Framing::Length(0));
+    }
+    let headers = conn.response_headers();
+    if headers.has_header(KnownHeaderName::TransferEncoding) {
+        // The library refuses every coding but a single `chunked`.
+        return Ok(Framing::Chunks);
+    }
+    let length = headers.get_str(KnownHeaderName::ContentLength);
+    let length = length.and_then(|text| text.parse().ok()).ok_or(Error::Truncated)?;
+    Ok(Framing::Length(length))
+}
+
+/// Reads a body of up to [`WHOLE_REPLY`] bytes whole.
+async fn read_body(mut reader: Reader, framing: Framing) -> Result<Body<Reader>, Error> {
+    let length = match framing {
+        Framing::Length(length) if length > WHOLE_REPLY => {
+            return Ok(Body::Stream { length: Some(length), reader });
+        }
+        Framing::Length(length) => Some(length),
+        Framing::Chunks => None,
+    };
+    let mut bytes = Vec::with_capacity(length.unwrap_or(0) as usize);
+    let limited = (&mut reader).take(WHOLE_REPLY + 1).read_to_end(&mut bytes).await;
+    limited.map_err(|_| Error::Truncated)?;
+    if length.is_some_and(|length| length != bytes.len() as u64) {
+        return Err(Error::Truncated);
+    }
+    if bytes.len() as u64 > WHOLE_REPLY {
+        reader.unread(bytes);
+        return Ok(Body::Stream { length: None, reader });
     }
-    let length = conn.response_headers().get_str(KnownHeaderName::ContentLength);
-    length.and_then(|text| text.parse().ok()).ok_or(Error::Truncated)
+    Ok(Body::Whole(bytes))
 }
 
 /// Whether the target leaves the connection open after the reply.
@@ -347,27 +384,3 @@
     let closes = connection.is_some_and(|text| text.to_lowercase().contains("close"));
     !closes && conn.http_version() == trillium_client::Version::Http1_1
 }
-
-/// Reads the rest of a long reply and fails if it is cut short.
-pub struct Reader {
-    reader: std::pin::Pin<Box<trillium_client::ResponseBody<'static>>>,
-    rest: u64,
-}
-
-impl AsyncRead for Reader {
-    fn poll_read(
-        mut self: std::pin::Pin<&mut Self>,
-        context: &mut std::task::Context<'_>,
-        bytes: &mut [u8],
-    ) -> std::task::Poll<std::io::Result<usize>> {
-        let polled = self.reader.as_mut().poll_read(context, bytes);
-        if let std::task::Poll::Ready(Ok(len)) = polled {
-            self.rest = self.rest.saturating_sub(len as u64);
-            if len == 0 && !bytes.is_empty() && self.rest > 0 {
-                let error = std::io::Error::from(std::io::ErrorKind::UnexpectedEof);
-                return std::task::Poll::Ready(Err(error));
-            }
-        }
-        polled
-    }
-}
