--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,7 +23,6 @@
 pub mod policy;
 pub mod pool;
 mod queue;
-pub mod queue;
 mod quorum;
 pub mod roster;
 pub mod scan;
