--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 mod check;
 mod choice;
 mod cost;
+pub mod credit;
 mod demand;
 mod dispatch;
 pub mod evidence;
