--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod settings;
 pub mod stop;
 pub mod store;
+pub mod stream;
 pub mod submit;
 pub mod sync;
 pub mod target;
--- a/crates/node/src/tls.rs
+++ b/crates/node/src/tls.rs
@@ -13,11 +13,13 @@
     BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
     KeyUsagePurpose, date_time_ymd,
 };
-use rustls::RootCertStore;
+use rustls::client::WebPkiServerVerifier;
+use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
 use rustls::crypto::CryptoProvider;
 use rustls::server::WebPkiClientVerifier;
+use rustls::{CertificateError, DigitallySignedStruct, RootCertStore, SignatureScheme};
 use rustls_pki_types::pem::PemObject;
-use rustls_pki_types::{CertificateDer, PrivateKeyDer};
+use rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName, UnixTime};
 use x509_parser::prelude::{FromDer, GeneralName, X509Certificate};
 
 use crate::settings;
@@ -132,6 +134,51 @@
     Ok(Pair { certificate: certificate.pem(), key: key.serialize_pem() })
 }
 
+/// Accepts a server whose certificate an authority signed, whatever its name. The caller reads the
+/// name from the certificate: addresses in the settings come without names.
+#[derive(Debug)]
+struct AnyName {
+    inner: Arc<WebPkiServerVerifier>,
+}
+
+impl ServerCertVerifier for AnyName {
+    fn verify_server_cert(
+        &self,
+        certificate: &CertificateDer<'_>,
+        intermediates: &[CertificateDer<'_>],
+        _: &ServerName<'_>,
+        ocsp: &[u8],
+        now: UnixTime,
+    ) -> Result<ServerCertVerified, rustls::Error> {
+        let bad = rustls::Error::InvalidCertificate(CertificateError::BadEncoding);
+        let name = name_of(certificate).ok_or(bad.clone())?;
+        let name = ServerName::try_from(name).map_err(|_| bad)?;
+        self.inner.verify_server_cert(certificate, intermediates, &name, ocsp, now)
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        self.inner.verify_tls12_signature(message, certificate, signature)
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        self.inner.verify_tls13_signature(message, certificate, signature)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.inner.supported_verify_schemes()
+    }
+}
+
 /// Authorities, own certificate and own key, read from files.
 #[derive(Debug)]
 pub struct Identity {
@@ -199,6 +246,17 @@
         config.alpn_protocols = vec![PROTOCOL.to_vec()];
         Ok(config)
     }
+
+    /// Like [`Identity::client`], but the server may have any name that an authority certified. The
+    /// caller has to read it with [`name_of`] and compare it.
+    pub fn peer_client(&self) -> Result<rustls::ClientConfig, Error> {
+        let inner = WebPkiServerVerifier::builder_with_provider(self.roots.clone(), provider())
+            .build()
+            .map_err(config_error)?;
+        let mut config = self.client()?;
+        config.dangerous().set_certificate_verifier(Arc::new(AnyName { inner }));
+        Ok(config)
+    }
 }
 
 fn config_error(error: impl fmt::Display) -> Error {
