Add a bounded look-up load and a bench of costs that grow with the fleet

Cause: CAPACITY.md needs slopes for look-ups and for reading the policy document. Ruled out: the caller stand-in as the load, because it caches look-ups as callers should.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 mod link;
 pub mod load;
+pub mod lookup;
 pub mod payload;
 pub mod plan;
 pub mod report;
