Keep slots for short kinds while long ones do not press

Ruled out: a fixed lower limit (it would hold back exports when there is room); a share by measured use of the long kinds (it limits itself). Change: a long job starts beyond the slots that the short kinds leave at 1.3 times their recent use only if two long jobs wait for each in flight. The limit of a third stays.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -197,6 +197,11 @@
         self.places[id].suspicion.is_some()
     }
 
+    /// Attempts of long kinds in flight.
+    pub(crate) fn long_in_flight(&self) -> u32 {
+        self.long_in_flight
+    }
+
     /// The most attempts of long kinds in flight at once.
     pub(crate) fn long_limit(&self) -> u32 {
         (self.usable_slots / 3).max(1)
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -30,6 +30,8 @@
     level: f64,
     level_until: Instant,
     scratch: Vec<f64>,
+    total: f64,
+    total_until: Instant,
 }
 
 impl Demand {
@@ -62,6 +64,17 @@
         self.level
     }
 
+    /// The slots that the lanes for which `counts` holds have used lately.
+    pub(crate) fn total(&mut self, now: Instant, counts: impl Fn(LaneId) -> bool) -> f64 {
+        if now >= self.total_until {
+            let uses = self.uses.iter().filter(|(lane, _)| counts(*lane));
+            let sum_us: f64 = uses.map(|(_, used)| used.at(now)).sum();
+            self.total = sum_us / WINDOW.as_micros() as f64;
+            self.total_until = now + SHARE_LIFETIME;
+        }
+        self.total
+    }
+
     fn compute(&mut self, now: Instant, slots: f64, wanted: impl Fn(LaneId) -> Option<f64>) -> f64 {
         self.scratch.clear();
         for (lane, used) in self.uses.iter() {
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -8,6 +8,11 @@
 use crate::queue::LaneId;
 use crate::time::{Instant, Span};
 
+/// Slots kept for the short kinds, as a multiple of what they used lately.
+const SHORT_HEADROOM: f64 = 1.3;
+/// Waiting long jobs for each one in flight that make it one more in flight.
+const LONG_PRESSURE: u32 = 2;
+
 impl Pool {
     /// Sends the waiting job whose turn it is, if a target has a slot for it.
     pub(crate) fn next_dispatch(&mut self, now: Instant) -> Option<Action> {
@@ -25,10 +30,11 @@
     }
 
     /// The waiting lane with the smallest tag whose first job has a place, and that place.
-    fn next_turn(&self, now: Instant) -> Option<(LaneId, PlaceId)> {
+    fn next_turn(&mut self, now: Instant) -> Option<(LaneId, PlaceId)> {
         // Most jobs were tried nowhere yet; for these the choice depends on the length only.
         let short = self.places.choose(now, false, 0);
-        let long = self.places.choose(now, true, 0);
+        let may_start_long = self.may_start_long(now);
+        let long = may_start_long.then(|| self.places.choose(now, true, 0)).flatten();
         let mut best: Option<(u64, LaneId, PlaceId)> = None;
         for &lane in self.queue.waiting() {
             let tag = self.queue.tag(lane);
@@ -37,6 +43,7 @@
             }
             let is_long = self.costs[self.queue[lane].cost()].is_long();
             let place = match self.jobs[self.queue[lane].head()].tried {
+                _ if is_long && !may_start_long => None,
                 0 if is_long => long,
                 0 => short,
                 tried => self.places.choose(now, is_long, tried),
@@ -48,6 +55,22 @@
         best.map(|(_, lane, place)| (lane, place))
     }
 
+    /// Whether a job of a long kind may start: the slots that the short kinds are likely to need
+    /// stay free of long kinds, unless so many long jobs wait that the slots in use cannot keep up.
+    fn may_start_long(&mut self, now: Instant) -> bool {
+        let (queue, costs) = (&self.queue, &self.costs);
+        let is_long = |lane: LaneId| costs[queue[lane].cost()].is_long();
+        let waiting = queue.waiting().iter().filter(|&&lane| is_long(lane));
+        let waiting: u32 = waiting.map(|&lane| queue[lane].len()).sum();
+        let in_flight = self.places.long_in_flight();
+        if waiting == 0 || in_flight * LONG_PRESSURE <= waiting {
+            return waiting > 0;
+        }
+        let short_use = self.demand.total(now, |lane| !is_long(lane));
+        let spare = f64::from(self.places.usable_slots()) - short_use * SHORT_HEADROOM;
+        f64::from(in_flight + 1) <= spare
+    }
+
     /// Whether the answer would more likely come after the deadline than before it.
     fn is_too_late(&self, now: Instant, id: JobId) -> bool {
         let record = &self.jobs[id];
