Test the console against the stand-in store

Cause: forms, sessions and submissions had no test. Ruled out: nothing failed; the tests are to catch later changes.

--- /dev/null
+++ b/crates/console/tests/forms.rs
@@ -0,0 +1,217 @@
+//! Editing: every part of the document, faults at their fields, and escaped text.
+
+mod common;
+
+use common::{Browser, POLICY, Site, TOKENS, run};
+use ebonypass_core::scan::scan_document;
+use ebonypass_core::text::write_document;
+use test_case::test_case;
+
+const SECTIONS: [&str; 10] = [
+    "shift",
+    "member",
+    "region",
+    "data_centre",
+    "link",
+    "service",
+    "service.kind",
+    "service.shift",
+    "drain",
+    "block",
+];
+
+async fn start(policy: Option<&str>) -> (Site, Browser) {
+    let site = Site::start(policy).await;
+    let browser = site.browser();
+    assert_eq!(browser.log_in(TOKENS[0]).await.status, 303);
+    (site, browser)
+}
+
+async fn save(browser: &Browser, section: &str, fields: &[(&str, &str)]) {
+    let path = format!("/edit/{section}");
+    let page = browser.fill(&path, &path, fields).await;
+    assert_eq!(page.status, 303, "{}", page.body);
+}
+
+/// Guards against a console that changes what it only shows.
+#[test]
+fn unchanged_document() {
+    run(async {
+        let (site, browser) = start(Some(POLICY)).await;
+        let expected = write_document(&scan_document(POLICY).expect("valid"));
+        assert_eq!(browser.get("/document.toml").await.body, expected);
+        site.close().await;
+    });
+}
+
+/// Guards against a part of the document that has no form.
+#[test]
+fn whole_document() {
+    run(async {
+        let (site, browser) = start(None).await;
+        let rows: [(&str, &[&[&str]]); 10] = [
+            ("shift", &[&["10", "30"]]),
+            ("member", &[&["windelrunde"]]),
+            ("region", &[&["zurich", "4"], &["geneva", "4"]]),
+            ("data_centre", &[&["zurich-1", "zurich"], &["geneva-1", "geneva"]]),
+            ("link", &[&["zurich", "geneva", "4000", "20000"]]),
+            ("service", &[&["swaps", "windelrunde", "3", "400", "zurich-1=2, geneva-1 = 2"]]),
+            ("service.kind", &[&["swaps", "log", "false", "1000"]]),
+            ("service.shift", &[&["swaps", "zurich", "geneva", "10"]]),
+            (
+                "drain",
+                &[&["target", "swaps-zurich-1-01", "2026-12-05T02:00:00Z", "2026-12-05T03:00:00Z"]],
+            ),
+            ("block", &[&["10.1.0.0/16", "zurich-1"]]),
+        ];
+        for (section, rows) in rows {
+            let mut fields = Vec::new();
+            for (row, values) in rows.iter().enumerate() {
+                for (column, value) in values.iter().enumerate() {
+                    fields.push((format!("r{row}c{column}"), *value));
+                }
+            }
+            let fields: Vec<(&str, &str)> =
+                fields.iter().map(|(name, value)| (name.as_str(), *value)).collect();
+            save(&browser, section, &fields).await;
+        }
+        let expected = write_document(&scan_document(POLICY).expect("valid"));
+        assert_eq!(browser.get("/document.toml").await.body, expected);
+        site.close().await;
+    });
+}
+
+/// Each fault is shown at its field, and on the page of the document with a link to it.
+#[test_case("member", "r0c0", "Big Name", "EP-1007"; "bad name")]
+#[test_case("region", "r0c1", "many", "EP-1005"; "no number")]
+#[test_case("region", "r1c1", "65", "EP-1006"; "out of range")]
+#[test_case("data_centre", "r1c1", "lugano", "EP-1009"; "unknown region")]
+#[test_case("link", "r0c2", "", "EP-1005"; "empty number")]
+#[test_case("service", "r0c1", "windelrunde, podilato", "EP-1009"; "unknown member")]
+#[test_case("service", "r0c4", "zurich-1", "EP-1005"; "no count")]
+#[test_case("service", "r0c4", "zurich-1 = 1, zurich-1 = 2", "EP-1005"; "centre twice")]
+#[test_case("service.kind", "r0c0", "rounds", "EP-1009"; "unknown service")]
+#[test_case("service.kind", "r0c2", "", "EP-1005"; "no choice")]
+#[test_case("drain", "r0c2", "tomorrow", "EP-1005"; "no time")]
+#[test_case("block", "r0c0", "10.1.0.1/16", "EP-1015"; "host bits")]
+#[test_case("member", "r0c0", "a\" b = \"c", "EP-1007"; "quotes")]
+#[test_case("member", "r0c0", "a\n[[region]]", "EP-1007"; "line break")]
+fn fault_field(section: &str, field: &str, text: &str, code: &str) {
+    run(async {
+        let (site, browser) = start(Some(POLICY)).await;
+        let path = format!("/edit/{section}");
+        let before = browser.get(&path).await.body;
+        assert!(!before.contains("class=\"fault"), "{before}");
+        let fields = edited(&before, field, text);
+        let fields: Vec<(&str, &str)> =
+            fields.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
+        save(&browser, section, &fields).await;
+        let after = browser.get(&path).await.body;
+        let fault = format!("<div class=\"fault\" id=\"{field}fault\">{code}: ");
+        assert!(after.contains(&fault), "{after}");
+        assert!(after.contains(&format!("aria-describedby=\"{field}fault\"")), "{after}");
+        let review = browser.get("/document").await.body;
+        assert!(review.contains(&format!("<a href=\"{path}?page=0\">")), "{review}");
+        assert!(!review.contains("action=\"/submit\""), "{review}");
+        assert_eq!(browser.fill("/document", "/submit", &[]).await.status, 409);
+        assert_eq!(site.current().await.0, 1);
+        site.close().await;
+    });
+}
+
+/// The fields of a form as a browser sends them, one of them changed.
+fn edited(html: &str, field: &str, text: &str) -> Vec<(String, String)> {
+    let mut fields = Vec::new();
+    for part in html.split("name=\"r").skip(1) {
+        let name = format!("r{}", part.split('"').next().expect("a name"));
+        let input = part.split("<td>").next().expect("an input");
+        let chosen =
+            input.split("<option selected>").nth(1).and_then(|rest| rest.split('<').next());
+        let shown = input.split("value=\"").nth(1).and_then(|rest| rest.split('"').next());
+        let value = chosen.or(shown.filter(|_| !input.contains("<option"))).unwrap_or_default();
+        if name.contains('c') {
+            let value = if name == field { text } else { value };
+            fields.push((name, value.to_owned()));
+        }
+    }
+    fields
+}
+
+/// Text of operators and of the store never becomes HTML.
+#[test]
+fn escaped_text() {
+    run(async {
+        let (site, browser) = start(Some(POLICY)).await;
+        let text = "\"><script>alert('x')</script>&";
+        save(&browser, "member", &[("r0c0", text)]).await;
+        let paths = ["/", "/document", "/edit/member"];
+        for path in paths {
+            let body = browser.get(path).await.body;
+            assert!(!body.contains("<script"), "{path}: {body}");
+        }
+        let escaped = "&quot;&gt;&lt;script&gt;alert(&#39;x&#39;)&lt;/script&gt;&amp;";
+        assert!(browser.get("/edit/member").await.body.contains(escaped));
+        site.close().await;
+    });
+}
+
+/// Rows can be deleted, and a form of an older draft does not undo a newer change.
+#[test]
+fn older_form() {
+    run(async {
+        let (site, browser) = start(Some(POLICY)).await;
+        let old = browser.get("/edit/member").await.body;
+        let (csrf, revision) = (common::value(&old, "csrf"), common::value(&old, "revision"));
+        let fields = [("r0c0", "windelrunde"), ("r0delete", "on"), ("r1c0", "podilato")];
+        save(&browser, "member", &fields).await;
+        let late = [("csrf", csrf.as_str()), ("revision", revision.as_str()), ("r0c0", "late")];
+        assert_eq!(browser.post("/edit/member", &late).await.status, 409);
+        let body = browser.get("/edit/member").await.body;
+        assert!(body.contains("value=\"podilato\""), "{body}");
+        assert!(!body.contains("value=\"windelrunde\"") && !body.contains("late"), "{body}");
+        site.close().await;
+    });
+}
+
+/// A change on one page keeps the rows of the others.
+#[test]
+fn many_rows() {
+    run(async {
+        let blocks = (1..=120).map(|index| {
+            format!("[[block]]\ncidr = \"10.{index}.0.0/24\"\ndata_centre = \"zurich-1\"\n")
+        });
+        let blocks = blocks.collect::<String>();
+        let policy =
+            POLICY.replace("block = [{ cidr = \"10.1.0.0/16\", data_centre = \"zurich-1\" }]", "");
+        let (site, browser) = start(Some(&format!("{policy}\n{blocks}"))).await;
+        let fields = [("page", "1"), ("r50c0", "10.200.0.0/24"), ("r50c1", "geneva-1")];
+        let path = "/edit/block?page=1";
+        assert_eq!(browser.fill(path, "/edit/block", &fields).await.status, 303);
+        let text = browser.get("/document.toml").await.body;
+        let document = scan_document(&text).expect("valid");
+        // The 50 rows of the second page became one.
+        assert_eq!(document.blocks.len(), 71);
+        assert_eq!(document.blocks[50].network.octets()[1], 200);
+        assert_eq!(document.blocks[51].network.octets()[1], 101);
+        site.close().await;
+    });
+}
+
+/// Every form has its hidden fields, and no page needs a script.
+#[test]
+fn every_page() {
+    run(async {
+        let (site, browser) = start(Some(POLICY)).await;
+        let others = ["/", "/document", "/status"].map(str::to_owned);
+        let forms = SECTIONS.map(|section| format!("/edit/{section}"));
+        for path in others.iter().chain(&forms) {
+            let page = browser.get(path).await;
+            assert_eq!(page.status, 200);
+            let forms = page.body.matches("<form").count();
+            assert_eq!(page.body.matches("name=\"csrf\"").count(), forms, "{path}");
+            assert!(!page.body.contains("<script") && !page.body.contains("onclick"));
+        }
+        assert_eq!(browser.get("/edit/nothing").await.status, 404);
+        site.close().await;
+    });
+}
