--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -11,7 +11,7 @@
     Action, Attempt, Config, Job, Load, Pool, Report, Spec, State, Ticket, Verdict,
 };
 use ebonypass_core::time::{Instant, Span};
-use ebonypass_node::target::{self, Error, Reply, Request, Target};
+use ebonypass_node::target::{self, Body, Error, Reply, Request, Target};
 use ebonypass_node::trace::{Context, Span as TraceSpan};
 use ebonypass_node::{clock, sync};
 use futures_lite::future;
@@ -30,6 +30,21 @@
     Failed(Reason),
 }
 
+impl<B> Answer<B> {
+    /// The same answer with another sort of reader for the rest of a long reply.
+    pub(crate) fn map<C>(self, wrap: impl FnOnce(B) -> C) -> Answer<C> {
+        let Reply { head, body } = match self {
+            Answer::Answered(reply) => reply,
+            Answer::Failed(reason) => return Answer::Failed(reason),
+        };
+        let body = match body {
+            Body::Whole(bytes) => Body::Whole(bytes),
+            Body::Stream { length, reader } => Body::Stream { length, reader: wrap(reader) },
+        };
+        Answer::Answered(Reply { head, body })
+    }
+}
+
 /// One pool, its waiting requests and its targets' addresses.
 pub(crate) struct Driver<T: Target> {
     inner: Mutex<Inner<T::Reader>>,
@@ -46,7 +61,7 @@
     pool: Pool,
     work: HashMap<Ticket, Work<B>>,
     calls: HashMap<(Ticket, Attempt), Call>,
-    addresses: HashMap<TargetId, SocketAddr>,
+    targets: HashMap<TargetId, Known>,
     timer_at: Instant,
 }
 
@@ -57,6 +72,23 @@
     sender: Sender<Answer<B>>,
 }
 
+/// A target as the VM list, the policy and the target itself describe it.
+struct Known {
+    address: SocketAddr,
+    spec: Spec,
+    /// Whether the target's own report says that it will stop.
+    says_leaving: bool,
+}
+
+impl Known {
+    fn spec(&self) -> Spec {
+        match self.spec.state {
+            State::Ready if self.says_leaving => Spec { state: State::Leaving, ..self.spec },
+            _ => self.spec,
+        }
+    }
+}
+
 struct Call {
     id: String,
     address: SocketAddr,
@@ -70,7 +102,7 @@
             pool: Pool::new(Config::default()),
             work: HashMap::new(),
             calls: HashMap::new(),
-            addresses: HashMap::new(),
+            targets: HashMap::new(),
             timer_at: Instant::MAX,
         };
         let inner = Mutex::new(inner);
@@ -96,32 +128,62 @@
         Ok(Waiting { driver: self.clone(), ticket, receiver, is_closed: false })
     }
 
-    /// Adds or changes a target.
-    pub(crate) fn set_target(self: &Arc<Self>, target: TargetId, address: SocketAddr, spec: Spec) {
+    /// Adds or changes a target. Returns whether its state changed.
+    pub(crate) fn set_target(
+        self: &Arc<Self>,
+        target: TargetId,
+        address: SocketAddr,
+        spec: Spec,
+    ) -> bool {
         let mut inner = self.lock();
-        inner.addresses.insert(target, address);
-        inner.pool.set_target(clock::now(), target, spec);
+        let before = inner.targets.get(&target);
+        let says_leaving = before.is_some_and(|known| known.says_leaving);
+        let before = before.map(Known::spec);
+        let known = Known { address, spec, says_leaving };
+        let after = known.spec();
+        inner.targets.insert(target, known);
+        if before == Some(after) {
+            return false;
+        }
+        inner.pool.set_target(clock::now(), target, after);
         self.pump(&mut inner);
+        before.map(|spec| spec.state) != Some(after.state)
     }
 
-    /// Ends the use of the targets that are not in `listed`.
-    pub(crate) fn retain_targets(self: &Arc<Self>, listed: &HashSet<TargetId>) {
+    /// Ends the use of the targets that are not in `listed`. Returns how many that were.
+    pub(crate) fn retain_targets(self: &Arc<Self>, listed: &HashSet<TargetId>) -> usize {
         let mut inner = self.lock();
         let gone: Vec<TargetId> =
-            inner.addresses.keys().filter(|target| !listed.contains(target)).copied().collect();
-        for target in gone {
-            inner.addresses.remove(&target);
+            inner.targets.keys().filter(|target| !listed.contains(target)).copied().collect();
+        for &target in &gone {
+            inner.targets.remove(&target);
             let spec = Spec { slots: 0, state: State::Gone };
             inner.pool.set_target(clock::now(), target, spec);
         }
         self.pump(&mut inner);
+        gone.len()
     }
 
-    /// Takes in a target's load report.
-    pub(crate) fn note_load(self: &Arc<Self>, target: TargetId, load: Load) {
+    /// Takes in a target's load report. Returns whether the target now says that it will stop and
+    /// did not before.
+    pub(crate) fn note_load(self: &Arc<Self>, target: TargetId, load: target::Load) -> bool {
         let mut inner = self.lock();
-        inner.pool.note_load(clock::now(), target, load);
+        let now = clock::now();
+        let Some(known) = inner.targets.get_mut(&target) else { return false };
+        let is_changed = known.says_leaving != load.leaving;
+        known.says_leaving = load.leaving;
+        let spec = known.spec();
+        if is_changed {
+            inner.pool.set_target(now, target, spec);
+        }
+        inner.pool.note_load(now, target, Load { busy: load.busy, queued: load.queued });
         self.pump(&mut inner);
+        is_changed && load.leaving
+    }
+
+    /// Targets and where they are.
+    pub(crate) fn targets(&self) -> Vec<(TargetId, SocketAddr)> {
+        self.lock().targets.iter().map(|(&target, known)| (target, known.address)).collect()
     }
 
     /// Free slots that the pool has confirmed.
@@ -129,6 +191,11 @@
         self.lock().pool.free_slots(clock::now())
     }
 
+    /// Requests that wait for a slot.
+    pub(crate) fn queued(&self) -> u32 {
+        self.lock().pool.queued() as u32
+    }
+
     /// Requests that wait or run.
     pub(crate) fn len(&self) -> usize {
         self.lock().work.len()
@@ -180,7 +247,7 @@
     ) {
         let number = self.next_id.fetch_add(1, Ordering::Relaxed);
         let id = format!("{}.{number}", self.prefix);
-        let address = inner.addresses.get(&target).copied();
+        let address = inner.targets.get(&target).map(|known| known.address);
         let work = inner.work.get(&ticket);
         let (Some(address), Some(work)) = (address, work) else {
             let driver = self.clone();
--- a/crates/entry/src/gauge.rs
+++ b/crates/entry/src/gauge.rs
@@ -53,7 +53,11 @@
     pub(crate) free_slots: Family<ServiceLabels, Gauge>,
     pub(crate) policy_version: Gauge,
     pub(crate) store_failures: Counter,
+    pub(crate) load_failures: Counter,
     pub(crate) in_flight: Gauge,
+    pub(crate) forwarded: Counter,
+    pub(crate) claims: Gauge,
+    pub(crate) peers: Gauge,
     pub(crate) limited: Family<LimitLabels, Counter>,
 }
 
@@ -71,7 +75,11 @@
             free_slots: Family::default(),
             policy_version: Gauge::default(),
             store_failures: Counter::default(),
+            load_failures: Counter::default(),
             in_flight: Gauge::default(),
+            forwarded: Counter::default(),
+            claims: Gauge::default(),
+            peers: Gauge::default(),
             limited: Family::default(),
         };
         let g = &gauges;
@@ -86,7 +94,11 @@
         r.register("free_slots", "Free slots of the own pools", g.free_slots.clone());
         r.register("policy_version", "Version of the policy in force", g.policy_version.clone());
         r.register("store_failures", "Calls to the store that failed", g.store_failures.clone());
-        r.register("in_flight", "Callers' requests in flight", g.in_flight.clone());
+        r.register("load_failures", "Load reports that did not come", g.load_failures.clone());
+        r.register("in_flight", "Requests of callers and peers in flight", g.in_flight.clone());
+        r.register("forwarded", "Requests that peers forwarded here", g.forwarded.clone());
+        r.register("claims", "Request keys held", g.claims.clone());
+        r.register("peers", "Peers that are live", g.peers.clone());
         r.register("limited", "Connections and requests ended by a limit", g.limited.clone());
         gauges
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,9 +1,14 @@
 //! The entry process: look-ups, queueing and forwarding.
 
+mod claim;
 mod driver;
+mod forward;
 mod gauge;
 mod lookup;
+mod members;
+mod mesh;
 mod names;
+mod policy;
 mod reply;
 mod run;
 mod server;
--- a/crates/entry/src/lookup.rs
+++ b/crates/entry/src/lookup.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
+use ebonypass_core::key::{Journal, Token};
 use ebonypass_core::outcome::Reason;
 use ebonypass_node::clock;
-use ebonypass_node::store::{Life, Role, Store, Vm};
+use ebonypass_node::store::{Role, Store, Vm};
+use ebonypass_node::sync::lock;
 use ebonypass_node::target::Target;
 use serde::Serialize;
 use trillium::{Conn, Handler, Status};
@@ -57,28 +59,42 @@
         let member = scan_field(query, "member").ok_or(Reason::UnknownMember)?;
         let service = scan_field(query, "service").ok_or(Reason::UnknownService)?;
         let block = scan_field(query, "block").and_then(scan_block).ok_or(Reason::UnknownBlock)?;
-        view.check_member(member, service)?;
         let centre = view.centre(block)?;
         let region = view.document.region_of(centre);
+        let service = view.check_member(member, service)?;
+        let now = clock::now();
         let vms = entry.vms.load();
-        let live = |vm: &&Vm| vm.role == Role::Entry && vm.state == Life::Live;
-        let mut places: Vec<&Vm> = vms.iter().filter(live).collect();
-        if entry.is_leaving() {
-            places.retain(|vm| vm.name != entry.settings.name);
+        let members = lock(&entry.members);
+        let owner = members.roster.owner(now, view.pool(service, region));
+        let owner = owner.map(|owner| members.roster.name(owner));
+        let ready = |vm: &&Vm| {
+            let known = members.roster.entry(&vm.name);
+            vm.role == Role::Entry && known.is_some_and(|key| members.roster.is_ready(now, key))
+        };
+        let mut places: Vec<Place<'_>> = vms.iter().filter(ready).map(place).collect();
+        let own = &entry.settings;
+        if !entry.is_leaving() && !places.iter().any(|place| place.name == own.name) {
+            // The VM list lags behind a fresh process.
+            let address = entry.caller_address.get().copied().unwrap_or(own.caller_listen);
+            places.push(Place { name: &own.name, data_centre: &own.data_centre, address });
         }
-        let near = |vm: &&Vm| view.region_of(&vm.data_centre) == Some(region);
-        if places.iter().any(near) {
-            places.retain(near);
+        let is_near = |place: &Place<'_>| view.region_of(place.data_centre) == Some(region);
+        if places.iter().any(is_near) {
+            places.retain(is_near);
         }
         let own_centre = &view.document.centres[centre].name;
-        places.sort_by_key(|vm| (vm.data_centre != *own_centre, vm.name != entry.settings.name));
+        places.sort_by_key(|place| (Some(place.name) != owner, place.data_centre != own_centre));
         places.truncate(MAX_ENTRIES);
-        let issued = clock::now().as_micros() / 1_000_000;
+        let token = Token {
+            entry: &entry.process.name,
+            incarnation: entry.process.incarnation.0,
+            issued_s: Journal::issue(now),
+        };
         let answer = Answer {
             version: view.version,
             ttl_ms: TTL_MS,
-            arbiter: format!("{}.{}.{issued}", entry.settings.name, entry.incarnation),
-            entries: places.into_iter().map(place).collect(),
+            arbiter: token.to_string(),
+            entries: places,
         };
         serde_json::to_string(&answer).map_err(|_| Reason::NoOwner)
     }
--- /dev/null
+++ b/crates/entry/src/members.rs
@@ -0,0 +1,148 @@
+//! The other entries, and the policy version that they and the store have.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ebonypass_core::id::EntryId;
+use ebonypass_core::roster::{Listed, PoolKey, PoolStatus, Process, Roster, Status};
+use ebonypass_core::time::Instant;
+use ebonypass_core::version::Follower;
+use ebonypass_node::peer::{Endpoint, Link};
+use ebonypass_node::store::{Life, Role, Vm};
+use ebonypass_node::wire::Frame;
+
+use crate::view::{Parsed, View};
+
+/// The other entries as this one knows them.
+pub(crate) struct Members {
+    pub(crate) roster: Roster,
+    pub(crate) follower: Follower<Arc<Parsed>>,
+    own: Process,
+    data_centre: String,
+    links: HashMap<String, Way>,
+    seeds: Vec<Arc<Link>>,
+    sequence: u64,
+}
+
+/// A link and the address for which it was made.
+struct Way {
+    address: SocketAddr,
+    link: Arc<Link>,
+}
+
+impl Members {
+    /// A process that knows only itself.
+    pub(crate) fn new(now: Instant, own: Process, data_centre: &str) -> Members {
+        Members {
+            roster: Roster::new(&own.name, data_centre),
+            follower: Follower::new(now, []),
+            own,
+            data_centre: data_centre.to_owned(),
+            links: HashMap::new(),
+            seeds: Vec::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Connects to the addresses of the settings, whose names are not known.
+    pub(crate) fn add_seeds(&mut self, endpoint: &Endpoint, seeds: &[SocketAddr]) {
+        self.seeds = seeds.iter().map(|&seed| endpoint.link(None, seed)).collect();
+    }
+
+    /// Takes in the VM list: entries to connect to, and those that are leaving.
+    pub(crate) fn note_vms(
+        &mut self,
+        now: Instant,
+        endpoint: &Endpoint,
+        vms: &[Vm],
+        view: Option<&View>,
+    ) {
+        let entries = || vms.iter().filter(|vm| vm.role == Role::Entry);
+        let list = entries().map(|vm| Listed {
+            name: &vm.name,
+            data_centre: &vm.data_centre,
+            leaving: vm.state == Life::Leaving,
+        });
+        if self.roster.note_list(now, list) {
+            self.resolve(view);
+        }
+        for vm in entries() {
+            if let Some(peer) = vm.peer {
+                self.add_link(endpoint, &vm.name, peer);
+            }
+        }
+        let roster = &self.roster;
+        let is_listed = |name: &str| entries().any(|vm| vm.name == name);
+        let is_live =
+            |name: &str| roster.entry(name).is_some_and(|entry| roster.is_live(now, entry));
+        self.links.retain(|name, _| is_listed(name) || is_live(name));
+    }
+
+    /// Connects to the entry called `name`, unless that is being done.
+    pub(crate) fn add_link(&mut self, endpoint: &Endpoint, name: &str, address: SocketAddr) {
+        let is_known = self.links.get(name).is_some_and(|way| way.address == address);
+        if !is_known && name != self.own.name {
+            let link = endpoint.link(Some(name.to_owned()), address);
+            self.links.insert(name.to_owned(), Way { address, link });
+        }
+    }
+
+    /// Finds the regions of the entries in the policy in force.
+    pub(crate) fn resolve(&mut self, view: Option<&View>) {
+        if let Some(view) = view {
+            self.roster.resolve(&view.document);
+        }
+    }
+
+    /// Takes in a heartbeat.
+    pub(crate) fn note_status(&mut self, now: Instant, status: &Status, view: Option<&View>) {
+        let is_new = self.roster.entry(&status.process.name).is_none();
+        let verdict = self.roster.note_status(now, status);
+        if is_new {
+            self.resolve(view);
+        }
+        if let ebonypass_core::roster::Verdict::Fresh(entry) = verdict {
+            self.follower.note_status(now, entry, status.version);
+        }
+    }
+
+    /// Sends a heartbeat to every peer.
+    pub(crate) fn send_status(&mut self, leaving: bool, pools: Vec<PoolStatus>, epoch: u64) {
+        self.sequence += 1;
+        let status = Status {
+            process: self.own.clone(),
+            sequence: self.sequence,
+            data_centre: self.data_centre.clone(),
+            leaving,
+            version: self.follower.version(),
+            steward_epoch: epoch,
+            pools,
+        };
+        let links = self.links.values().map(|way| &way.link);
+        for link in links.chain(&self.seeds) {
+            link.send(Frame::Status(status.clone()));
+        }
+    }
+
+    /// Whether this process owns `pool`.
+    pub(crate) fn is_owner(&self, now: Instant, pool: PoolKey) -> bool {
+        self.roster.owner(now, pool) == Some(self.roster.own())
+    }
+
+    /// States whether this process watches the store for its data centre.
+    pub(crate) fn choose_watcher(&mut self, now: Instant) {
+        let watchers = self.roster.watchers(now, &self.data_centre);
+        self.follower.set_watcher(watchers.contains(&Some(self.roster.own())));
+    }
+
+    /// The way to the entry called `name`.
+    pub(crate) fn link(&self, name: &str) -> Option<Arc<Link>> {
+        self.links.get(name).map(|way| way.link.clone())
+    }
+
+    /// The way to `entry`.
+    pub(crate) fn link_of(&self, entry: EntryId) -> Option<Arc<Link>> {
+        self.link(self.roster.name(entry))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/mesh.rs
@@ -0,0 +1,71 @@
+//! What an entry does with its peers' frames.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ebonypass_core::version;
+use ebonypass_node::clock;
+use ebonypass_node::event::{Event, note};
+use ebonypass_node::peer::Service;
+use ebonypass_node::store::Store;
+use ebonypass_node::stream::Exchange;
+use ebonypass_node::sync::lock;
+use ebonypass_node::target::Target;
+use ebonypass_node::wire::{Frame, Hello};
+
+use crate::claim::answer_claim;
+use crate::forward::serve_forward;
+use crate::policy::advance;
+use crate::state::Entry;
+
+/// The peers' view of an entry.
+pub(crate) struct Mesh<S, T: Target>(pub(crate) Arc<Entry<S, T>>);
+
+impl<S: Store, T: Target> Service for Mesh<S, T> {
+    fn found(&self, from: &Hello, address: SocketAddr) {
+        if let Some(endpoint) = self.0.endpoint.get() {
+            lock(&self.0.members).add_link(endpoint, &from.process.name, address);
+        }
+    }
+
+    fn note(&self, from: &Hello, frame: Frame) {
+        let now = clock::now();
+        match frame {
+            Frame::Status(status) if status.process == from.process => {
+                let view = self.0.view.load();
+                lock(&self.0.members).note_status(now, &status, view.as_deref());
+                advance(&self.0);
+            }
+            _ => note(Event::FrameRefused, format_args!("{}: not expected", from.process)),
+        }
+    }
+
+    async fn serve(&self, from: &Hello, frame: Frame, mut exchange: Exchange) {
+        match frame {
+            Frame::Fetch(fetch) => self.send_document(fetch, &mut exchange).await,
+            Frame::Claim(ask) => {
+                let answer = answer_claim(&self.0, &ask);
+                // A lost answer is asked for again.
+                let _ = exchange.send(&Frame::ClaimReply(answer)).await;
+                let _ = exchange.finish();
+            }
+            Frame::Forward(head) => serve_forward(&self.0, head, exchange).await,
+            _ => note(Event::FrameRefused, format_args!("{}: not a question", from.process)),
+        }
+    }
+}
+
+impl<S: Store, T: Target> Mesh<S, T> {
+    async fn send_document(&self, fetch: version::Fetch, exchange: &mut Exchange) {
+        let view = self.0.view.load_full().filter(|view| view.version >= fetch.version);
+        let (version, text) = match &view {
+            Some(view) => (view.version, view.text.as_str()),
+            None => (0, ""),
+        };
+        let head = Frame::Document { version, length: text.len() as u32 };
+        // A failure means that the other side has gone; it asks another peer.
+        if exchange.send(&head).await.is_ok() && exchange.write(text.as_bytes()).await.is_ok() {
+            let _ = exchange.finish();
+        }
+    }
+}
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -12,6 +12,9 @@
 /// The reply header with the code.
 pub(crate) const CODE: &str = "ebonypass-code";
 
+/// The reply header that tells what is known of the first use of a request key.
+pub(crate) const PRIOR: &str = "ebonypass-prior";
+
 /// A reply without an answer: `reason` and its outcome, with `status`.
 pub(crate) fn refuse(conn: Conn, gauges: &Gauges, status: Status, reason: Reason) -> Conn {
     let outcome = reason.outcome().as_str();
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -3,20 +3,25 @@
 use std::sync::Arc;
 use std::time::Instant as StdInstant;
 
-use ebonypass_core::outcome::Reason;
+use ebonypass_core::outcome::{Outcome, Reason};
 use ebonypass_core::pool::Job;
-use ebonypass_core::time::Span;
-use ebonypass_node::clock;
+use ebonypass_core::roster::PoolKey;
+use ebonypass_core::time::{Instant, Span};
+use ebonypass_node::peer::Link;
 use ebonypass_node::store::Store;
+use ebonypass_node::sync::lock;
 use ebonypass_node::target::{Request, Target};
 use ebonypass_node::trace::{self, Context, Span as TraceSpan};
+use ebonypass_node::{clock, peer};
 use prometheus_client::metrics::gauge::Gauge;
 use trillium::{Conn, Handler, KnownHeaderName};
 use trillium_router::RouterConnExt;
 
+use crate::claim::{Refusal, claim, settle};
 use crate::driver::Answer;
+use crate::forward::{Parcel, Rest, forward};
 use crate::gauge::{Gauges, ServiceLabels};
-use crate::reply::{answer, refuse, run_status};
+use crate::reply::{PRIOR, answer, refuse, run_status};
 use crate::state::Entry;
 use crate::view::{Terms, scan_block};
 
@@ -24,10 +29,10 @@
 pub(crate) struct Run<S, T: Target>(pub(crate) Arc<Entry<S, T>>);
 
 /// Counts a request for as long as it is handled, also when handling ends early.
-struct InFlight(Gauge);
+pub(crate) struct InFlight(Gauge);
 
 impl InFlight {
-    fn new(gauges: &Gauges) -> InFlight {
+    pub(crate) fn new(gauges: &Gauges) -> InFlight {
         gauges.in_flight.inc();
         InFlight(gauges.in_flight.clone())
     }
@@ -42,8 +47,11 @@
 /// A caller's request, read and checked.
 struct Call {
     terms: Terms,
+    member: String,
     request: Arc<Request>,
-    deadline: Span,
+    /// The pool that serves it, if the policy names this entry's data centre.
+    pool: Option<PoolKey>,
+    deadline: Instant,
     key: Option<String>,
     trace: Context,
 }
@@ -56,14 +64,24 @@
         let span = TraceSpan::new(context, "entry");
         let service = conn.param("service").unwrap_or_default().to_owned();
         let result = match self.read(&mut conn, span.context()).await {
-            Ok(call) => self.serve(call).await,
-            Err(reason) => Answer::Failed(reason),
+            Ok(call) => self.claim(call).await,
+            Err(reason) => Ok(Answer::Failed(reason)),
         };
-        let is_known = !matches!(result, Answer::Failed(Reason::UnknownService));
-        span.close(result_name(&result));
+        let is_known = !matches!(result, Ok(Answer::Failed(Reason::UnknownService)));
+        span.close(match &result {
+            Ok(answer) => outcome_of(answer).as_str(),
+            Err(_) => "refused",
+        });
+        let gauges = &self.0.gauges;
         let conn = match result {
-            Answer::Answered(reply) => answer(conn, &self.0.gauges, reply),
-            Answer::Failed(reason) => refuse(conn, &self.0.gauges, run_status(reason), reason),
+            Ok(Answer::Answered(reply)) => answer(conn, gauges, reply),
+            Ok(Answer::Failed(reason)) | Err(Refusal::Reason(reason)) => {
+                refuse(conn, gauges, run_status(reason), reason)
+            }
+            Err(Refusal::Repeated(prior)) => {
+                let reason = Reason::KeyRepeated;
+                refuse(conn, gauges, run_status(reason), reason).with_response_header(PRIOR, prior)
+            }
         };
         if is_known {
             // Names that no policy has would make metrics without bound.
@@ -81,8 +99,8 @@
         let kind = conn.param("kind").ok_or(Reason::UnknownKind)?.to_owned();
         let headers = conn.request_headers();
         let text = |name: &'static str| headers.get_str(name);
-        let member = text("ebonypass-member").ok_or(Reason::UnknownMember)?;
-        let terms = view.terms(member, &service, &kind)?;
+        let member = text("ebonypass-member").ok_or(Reason::UnknownMember)?.to_owned();
+        let terms = view.terms(&member, &service, &kind)?;
         let block = text("ebonypass-block").and_then(scan_block).ok_or(Reason::UnknownBlock)?;
         view.centre(block)?;
         let deadline = match text("ebonypass-deadline-ms") {
@@ -103,7 +121,9 @@
         let body = body.map_err(|_| Reason::BodyTooLarge)?;
         let idempotent = terms.idempotent;
         let request = Arc::new(Request { service, kind, idempotent, body, content_type });
-        Ok(Call { terms, request, deadline, key, trace })
+        let region = view.region_of(&self.0.settings.data_centre);
+        let pool = region.map(|region| view.pool(terms.service, region));
+        Ok(Call { terms, member, request, pool, deadline: clock::now() + deadline, key, trace })
     }
 
     fn scan_deadline(&self, text: &str) -> Result<Span, Reason> {
@@ -111,28 +131,61 @@
         Ok(Span::from_millis(ms.min(self.0.settings.limits.deadline_ms)))
     }
 
-    async fn serve(&self, call: Call) -> Answer<T::Reader> {
-        if let Some(key) = call.key.filter(|_| !call.terms.idempotent)
-            && let Err(reason) = self.0.claim(&key)
-        {
-            return Answer::Failed(reason);
-        }
-        let job = Job {
-            flow: call.terms.flow,
-            deadline: clock::now() + call.deadline,
-            idempotent: call.terms.idempotent,
+    /// Claims the key of non-idempotent work, and serves.
+    async fn claim(&self, call: Call) -> Result<Answer<Rest<T::Reader>>, Refusal> {
+        let Some(key) = call.key.as_ref().filter(|_| !call.request.idempotent) else {
+            return Ok(self.serve(call).await);
+        };
+        let grant = claim(&self.0, &call.member, key).await?;
+        let answer = self.serve(call).await;
+        settle(&self.0, grant, outcome_of(&answer));
+        Ok(answer)
+    }
+
+    /// Serves from the pool's owner entry.
+    async fn serve(&self, call: Call) -> Answer<Rest<T::Reader>> {
+        let Some(link) = self.owner(&call) else { return self.serve_here(call).await };
+        let Some(link) = link else { return Answer::Failed(Reason::NoOwner) };
+        let parcel = Parcel {
+            member: &call.member,
+            request: &call.request,
+            deadline: call.deadline,
+            trace: call.trace,
+            is_remote: false,
         };
-        let driver = self.0.pool(&call.request.service);
-        match driver.offer(job, call.request, call.trace) {
-            Ok(waiting) => waiting.answer().await,
+        match forward(&link, parcel).await {
+            Ok(answer) => answer,
+            Err(peer::Error::Unsent) => Answer::Failed(Reason::NoOwner),
+            // The owner has gone; until its successor is known, targets shed what is too much.
+            Err(peer::Error::Lost) if call.request.idempotent && clock::now() < call.deadline => {
+                self.serve_here(call).await
+            }
+            Err(peer::Error::Lost) => Answer::Failed(Reason::PeerLost),
+        }
+    }
+
+    /// The way to the entry that owns the pool: none if it is this one, `Some(None)` if there is
+    /// no connection.
+    fn owner(&self, call: &Call) -> Option<Option<Arc<Link>>> {
+        let members = lock(&self.0.members);
+        let owner = members.roster.owner(clock::now(), call.pool?)?;
+        (owner != members.roster.own()).then(|| members.link_of(owner))
+    }
+
+    async fn serve_here(&self, call: Call) -> Answer<Rest<T::Reader>> {
+        let Call { request, deadline, .. } = call;
+        let job = Job { flow: call.terms.flow, deadline, idempotent: request.idempotent };
+        let driver = self.0.pool(&request.service);
+        match driver.offer(job, request, call.trace) {
+            Ok(waiting) => waiting.answer().await.map(Rest::Target),
             Err(reason) => Answer::Failed(reason),
         }
     }
 }
 
-fn result_name<B>(result: &Answer<B>) -> &'static str {
-    match result {
-        Answer::Answered(_) => "answered",
-        Answer::Failed(reason) => reason.outcome().as_str(),
+fn outcome_of<B>(answer: &Answer<B>) -> Outcome {
+    match answer {
+        Answer::Answered(_) => Outcome::Answered,
+        Answer::Failed(reason) => reason.outcome(),
     }
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -4,10 +4,14 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use ebonypass_node::event::{Event, note};
 use ebonypass_node::metric::Page;
+use ebonypass_node::peer::Endpoint;
+use ebonypass_node::sync::lock;
+use ebonypass_node::tls::Identity;
+use ebonypass_node::wire::{Hello, PROTOCOL};
 use ebonypass_node::{store, target};
 use prometheus_client::registry::Registry;
 use smol::Timer;
@@ -17,14 +21,18 @@
 
 use crate::gauge::Gauges;
 use crate::lookup::Lookup;
+use crate::mesh::Mesh;
 use crate::run::Run;
 use crate::settings::Settings;
 use crate::state::Entry;
-use crate::tasks;
+use crate::{policy, tasks};
 
 /// Time between two looks at the work in flight of a stopping process.
 const STOP_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time between two closings of idle connections to targets.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
 type State = Entry<store::Http, target::Http>;
 
 /// A running entry.
@@ -40,13 +48,19 @@
 impl Server {
     /// Binds the sockets of `settings` and serves.
     ///
-    /// Errors: an address cannot be bound.
+    /// Errors: keys or certificates cannot be used, or an address cannot be bound.
     pub fn start(settings: Settings) -> io::Result<Server> {
+        let identity = Identity::load(&settings.tls).map_err(io::Error::other)?;
+        if identity.name() != settings.name {
+            let message = format!("the certificate is for {}", identity.name());
+            return Err(io::Error::other(message));
+        }
         let mut registry = Registry::default();
         let gauges = Gauges::new(&mut registry);
         let store = store::Http::new(settings.store);
         let entry = Arc::new(Entry::new(settings, store, target::Http::new(), gauges));
         let (settings, limits) = (&entry.settings, &entry.settings.limits);
+        let endpoint = bind_peers(&entry, &identity)?;
         let config = HttpConfig::default()
             .with_head_max_len(limits.head_bytes)
             .with_received_body_max_len(limits.body_bytes as u64);
@@ -63,12 +77,21 @@
         };
         let router = Router::new().get("/metrics", Page::new(registry)).get("/health", health);
         let (admin, admin_address) = serve(settings.admin_listen, HttpConfig::default(), router)?;
+        let _ = entry.caller_address.set(caller_address);
+        let mesh = Arc::new(Mesh(entry.clone()));
         let tasks = vec![
-            smol::spawn(tasks::watch_policy(entry.clone())),
+            smol::spawn(async move { endpoint.serve(mesh).await }),
+            smol::spawn(policy::follow(entry.clone())),
+            smol::spawn(tasks::watch_identity(
+                entry.clone(),
+                identity.is_expiring(SystemTime::now()),
+            )),
+            smol::spawn(sweep(entry.target.clone())),
+            smol::spawn(tasks::send_status(entry.clone())),
             smol::spawn(tasks::poll_vms(entry.clone())),
             smol::spawn(tasks::poll_loads(entry.clone())),
         ];
-        note(Event::Started, format_args!("{} callers {caller_address}", entry.settings.name));
+        note(Event::Started, format_args!("{} callers {caller_address}", entry.process));
         Ok(Server { entry, callers, admin, caller_address, admin_address, tasks })
     }
 
@@ -77,6 +100,13 @@
         self.caller_address
     }
 
+    /// Where other entries connect.
+    pub fn peer_address(&self) -> SocketAddr {
+        let endpoint = self.entry.endpoint.get();
+        let address = endpoint.and_then(|endpoint| endpoint.address().ok());
+        address.unwrap_or(self.entry.settings.peer_listen)
+    }
+
     /// Where operators find metrics and health.
     pub const fn admin_address(&self) -> SocketAddr {
         self.admin_address
@@ -104,6 +134,9 @@
         for task in self.tasks {
             task.cancel().await;
         }
+        if let Some(endpoint) = self.entry.endpoint.get() {
+            endpoint.clone().close().await;
+        }
         self.admin.shut_down().await;
         note(Event::Stopped, &self.entry.settings.name);
     }
@@ -114,6 +147,26 @@
     }
 }
 
+/// Closes connections to targets that have been idle for long.
+async fn sweep(target: target::Http) {
+    loop {
+        Timer::after(SWEEP_INTERVAL).await;
+        target.sweep();
+    }
+}
+
+fn bind_peers(entry: &State, identity: &Identity) -> io::Result<Endpoint> {
+    let hello = Hello {
+        protocol: PROTOCOL,
+        process: entry.process.clone(),
+        data_centre: entry.settings.data_centre.clone(),
+    };
+    let endpoint = Endpoint::bind(entry.settings.peer_listen, identity, hello)?;
+    lock(&entry.members).add_seeds(&endpoint, &entry.settings.peers);
+    let _ = entry.endpoint.set(endpoint.clone());
+    Ok(endpoint)
+}
+
 fn serve(
     address: SocketAddr,
     config: HttpConfig,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -47,6 +47,8 @@
     pub held_bytes: usize,
     /// Connections of callers at once.
     pub callers: usize,
+    /// Request keys that are held at once. Each is held for up to 20 minutes.
+    pub keys: usize,
     /// How long a caller may take to send a request once it has begun, in milliseconds.
     pub head_timeout_ms: u64,
     /// How long a connection may be idle between requests, in milliseconds.
@@ -67,6 +69,7 @@
             body_bytes: 1024 * 1024,
             held_bytes: 64 * 1024 * 1024,
             callers: 4_096,
+            keys: 500_000,
             head_timeout_ms: 5_000,
             idle_timeout_ms: 60_000,
             deadline_ms: 600_000,
@@ -109,6 +112,7 @@
         check_range("limits.body_bytes", self.body_bytes, 0..=64 * 1024 * 1024)?;
         check_range("limits.held_bytes", self.held_bytes, self.body_bytes..=1 << 40)?;
         check_range("limits.callers", self.callers, 1..=1_000_000)?;
+        check_range("limits.keys", self.keys, 1..=100_000_000)?;
         check_range("limits.head_timeout_ms", self.head_timeout_ms, 10..=600_000)?;
         check_range("limits.idle_timeout_ms", self.idle_timeout_ms, 10..=3_600_000)?;
         check_range("limits.deadline_ms", self.deadline_ms, 1..=86_400_000)?;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,63 +1,71 @@
 //! What the parts of an entry share.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use ebonypass_core::key::Journal;
 use ebonypass_core::outcome::Reason;
-use ebonypass_core::scan::scan_document;
+use ebonypass_core::roster::{Incarnation, Process};
+use ebonypass_node::clock;
 use ebonypass_node::event::{Event, note};
+use ebonypass_node::peer::Endpoint;
 use ebonypass_node::store::{Store, Vm};
 use ebonypass_node::sync::lock;
 use ebonypass_node::target::Target;
-use serde::Deserialize;
 
 use crate::driver::Driver;
 use crate::gauge::Gauges;
+use crate::members::Members;
 use crate::names::Catalogue;
 use crate::settings::Settings;
 use crate::view::View;
 
-/// An entry's state. Requests read it, the tasks in [`crate::tasks`] change it.
+/// An entry's state. Requests read it, tasks change it. Where several locks are held at once, they
+/// are taken in the order of the fields.
 pub(crate) struct Entry<S, T: Target> {
     pub(crate) settings: Settings,
-    /// Tells this process from earlier ones of the same name.
-    pub(crate) incarnation: String,
+    pub(crate) process: Process,
     pub(crate) store: S,
     pub(crate) target: T,
     pub(crate) gauges: Gauges,
+    pub(crate) endpoint: OnceLock<Endpoint>,
+    pub(crate) caller_address: OnceLock<SocketAddr>,
     pub(crate) view: ArcSwapOption<View>,
     pub(crate) vms: ArcSwap<Vec<Vm>>,
     pub(crate) leaving: AtomicBool,
+    store_lost: AtomicBool,
+    pub(crate) members: Mutex<Members>,
     pub(crate) names: Mutex<Catalogue>,
+    pub(crate) journal: Mutex<Journal>,
     pools: Mutex<HashMap<String, Arc<Driver<T>>>>,
-    keys: Mutex<HashSet<String>>,
-}
-
-/// The value of `policy/current`.
-#[derive(Debug, Deserialize)]
-struct Envelope {
-    submission: String,
-    operator: String,
-    text: String,
 }
 
 impl<S: Store, T: Target> Entry<S, T> {
     /// The state of a fresh process.
     pub(crate) fn new(settings: Settings, store: S, target: T, gauges: Gauges) -> Entry<S, T> {
+        let process = Process { name: settings.name.clone(), incarnation: new_incarnation() };
+        let members = Members::new(clock::now(), process.clone(), &settings.data_centre);
+        let journal = Journal::new(settings.limits.keys);
         Entry {
             settings,
-            incarnation: new_incarnation(),
+            process,
             store,
             target,
             gauges,
+            endpoint: OnceLock::new(),
+            caller_address: OnceLock::new(),
             view: ArcSwapOption::empty(),
             vms: ArcSwap::default(),
             leaving: AtomicBool::new(false),
+            store_lost: AtomicBool::new(false),
+            members: Mutex::new(members),
             names: Mutex::default(),
+            journal: Mutex::new(journal),
             pools: Mutex::default(),
-            keys: Mutex::default(),
         }
     }
 
@@ -71,33 +79,15 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
-    /// Puts the document in `value` in force if `version` is newer than the one in force. A faulty
-    /// document changes nothing.
-    pub(crate) fn apply(&self, version: u64, value: &[u8]) -> bool {
-        if self.view.load().as_ref().is_some_and(|view| view.version >= version) {
-            return false;
+    /// Counts the failures of the store, and logs when it is lost and found.
+    pub(crate) fn note_store(&self, is_ok: bool) {
+        if !is_ok {
+            self.gauges.store_failures.inc();
+        }
+        if self.store_lost.swap(!is_ok, Ordering::Relaxed) == is_ok {
+            let event = if is_ok { Event::StoreFound } else { Event::StoreLost };
+            note(event, self.settings.store);
         }
-        let envelope: Envelope = match serde_json::from_slice(value) {
-            Ok(envelope) => envelope,
-            Err(error) => {
-                note(Event::ObjectMalformed, format_args!("policy version {version}: {error}"));
-                return false;
-            }
-        };
-        let document = match scan_document(&envelope.text) {
-            Ok(document) => document,
-            Err(faults) => {
-                let first = &faults[0];
-                note(Event::PolicyFaulty, format_args!("version {version}: {first}"));
-                return false;
-            }
-        };
-        let view = View::new(version, document, &mut lock(&self.names));
-        self.view.store(Some(Arc::new(view)));
-        self.gauges.policy_version.set(version as i64);
-        let (operator, submission) = (&envelope.operator, &envelope.submission);
-        note(Event::PolicyApplied, format_args!("version {version} {submission} by {operator:?}"));
-        true
     }
 
     /// The own pool of `service`, made at its first use.
@@ -106,7 +96,7 @@
         if let Some(driver) = pools.get(service) {
             return driver.clone();
         }
-        let prefix = format!("{}.{}.{service}", self.settings.name, self.incarnation);
+        let prefix = format!("{}.{service}", self.process);
         let driver = Driver::new(self.target.clone(), self.gauges.clone(), prefix);
         pools.insert(service.to_owned(), driver.clone());
         driver
@@ -116,22 +106,11 @@
     pub(crate) fn pools(&self) -> Vec<(String, Arc<Driver<T>>)> {
         lock(&self.pools).iter().map(|(name, driver)| (name.clone(), driver.clone())).collect()
     }
-
-    /// Claims a request key for its first use.
-    pub(crate) fn claim(&self, key: &str) -> Result<(), Reason> {
-        let arbiter = key.split_once('/').map(|(arbiter, _)| arbiter);
-        let arbiter = arbiter.filter(|_| key.len() <= 256).ok_or(Reason::KeyMalformed)?;
-        let own = format!("{}.{}.", self.settings.name, self.incarnation);
-        if !arbiter.starts_with(&own) {
-            return Err(Reason::ArbiterGone);
-        }
-        if !lock(&self.keys).insert(key.to_owned()) {
-            return Err(Reason::KeyRepeated);
-        }
-        Ok(())
-    }
 }
 
-fn new_incarnation() -> String {
-    (0..8).map(|_| fastrand::digit(36)).collect()
+/// Microseconds of Unix time: higher than that of each earlier process on a clock that is not set
+/// back.
+fn new_incarnation() -> Incarnation {
+    let age = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation(age.as_micros() as u64)
 }
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -1,25 +1,33 @@
 //! Work that goes on beside requests.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant, SystemTime};
 
-use ebonypass_core::pool::{Load, Spec, State};
+use ebonypass_core::id::TargetId;
+use ebonypass_core::pool::{Spec, State};
+use ebonypass_core::roster::PoolStatus;
 use ebonypass_node::clock;
 use ebonypass_node::event::{Event, note};
-use ebonypass_node::store::{Error, Life, POLICY_KEY, Role, Store, Vm};
+use ebonypass_node::store::{Life, Role, Store, Vm};
 use ebonypass_node::sync::lock;
 use ebonypass_node::target::Target;
+use ebonypass_node::tls;
 use smol::Timer;
 
+use crate::driver::Driver;
 use crate::gauge::ServiceLabels;
 use crate::state::Entry;
 
-/// How long the store may hold a watch.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Time between two looks at the files of keys and certificates.
+const IDENTITY_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Time between two calls after a failure.
-const RETRY: Duration = Duration::from_millis(500);
+/// Time between two warnings about a certificate that expires.
+const WARN_INTERVAL: Duration = Duration::from_secs(6 * 3_600);
+
+/// Time between two heartbeats.
+const STATUS_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time between two readings of the VM list.
 const VM_INTERVAL: Duration = Duration::from_secs(1);
@@ -27,68 +35,134 @@
 /// Time between two readings of a target's load.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Follows the policy document of the store.
-pub(crate) async fn watch_policy<S: Store, T: Target>(entry: Arc<Entry<S, T>>) {
-    let mut seen = 0;
-    let mut is_lost = false;
+/// Follows the VM list.
+pub(crate) async fn poll_vms<S: Store, T: Target>(entry: Arc<Entry<S, T>>) {
     loop {
-        match entry.store.watch(POLICY_KEY, seen, WATCH_WAIT).await {
-            Ok(object) => {
-                if std::mem::take(&mut is_lost) {
-                    note(Event::StoreFound, entry.settings.store);
-                }
-                let Some(object) = object else { continue };
-                seen = object.version;
-                if entry.apply(object.version, &object.value) {
-                    refresh_targets(&entry);
-                }
-            }
-            Err(Error::Absent) => drop(Timer::after(RETRY).await),
-            Err(error) => {
-                entry.gauges.store_failures.inc();
-                if !std::mem::replace(&mut is_lost, true) {
-                    note(Event::StoreLost, &error);
-                }
-                Timer::after(RETRY).await;
-            }
+        match entry.store.vms().await {
+            Ok(vms) => note_vms(&entry, vms),
+            Err(_) => entry.note_store(false),
         }
+        // Planned drains begin and end by the clock, also while the list cannot be read.
+        refresh_targets(&entry);
+        Timer::after(VM_INTERVAL).await;
     }
 }
 
-/// Follows the VM list.
-pub(crate) async fn poll_vms<S: Store, T: Target>(entry: Arc<Entry<S, T>>) {
+fn note_vms<S: Store, T: Target>(entry: &Entry<S, T>, vms: Vec<Vm>) {
+    let view = entry.view.load();
+    if let Some(endpoint) = entry.endpoint.get() {
+        lock(&entry.members).note_vms(clock::now(), endpoint, &vms, view.as_deref());
+    }
+    entry.vms.store(Arc::new(vms));
+}
+
+/// Reads keys and certificates again when they change, and warns before they expire.
+pub(crate) async fn watch_identity<S: Store, T: Target>(
+    entry: Arc<Entry<S, T>>,
+    mut is_expiring: bool,
+) {
+    let files = &entry.settings.tls;
+    let mut watch = tls::Watch::new(files.clone());
+    let mut warned_at = None;
     loop {
-        match entry.store.vms().await {
-            Ok(vms) => {
-                entry.vms.store(Arc::new(vms));
-                refresh_targets(&entry);
+        if is_expiring && warned_at.is_none_or(|at: Instant| at.elapsed() >= WARN_INTERVAL) {
+            warned_at = Some(Instant::now());
+            note(Event::CertificateExpiring, files.certificate.display());
+        }
+        Timer::after(IDENTITY_INTERVAL).await;
+        let (Some(changed), Some(endpoint)) = (watch.poll(), entry.endpoint.get()) else {
+            continue;
+        };
+        let used = changed.and_then(|identity| {
+            endpoint.set_identity(&identity)?;
+            Ok(identity.is_expiring(SystemTime::now()))
+        });
+        match used {
+            Ok(expiring) => {
+                (is_expiring, warned_at) = (expiring, None);
+                note(Event::CertificateLoaded, files.certificate.display());
             }
-            Err(_) => drop(entry.gauges.store_failures.inc()),
+            Err(error) => note(Event::CertificateFaulty, error),
         }
-        Timer::after(VM_INTERVAL).await;
     }
 }
 
-/// Follows the load reports of the own region's targets.
+/// Sends heartbeats.
+pub(crate) async fn send_status<S: Store, T: Target>(entry: Arc<Entry<S, T>>) {
+    loop {
+        beat(&entry);
+        Timer::after(STATUS_INTERVAL).await;
+    }
+}
+
+/// Sends one heartbeat to every peer.
+pub(crate) fn beat<S: Store, T: Target>(entry: &Entry<S, T>) {
+    let pools = owned_pools(entry);
+    let mut members = lock(&entry.members);
+    if entry.is_leaving() {
+        members.roster.set_leaving();
+    }
+    members.send_status(entry.is_leaving(), pools, 0);
+    let live = members.roster.ready(clock::now()).count().saturating_sub(1);
+    entry.gauges.peers.set(live as i64);
+}
+
+/// The pools that this entry owns.
+fn owned_pools<S: Store, T: Target>(entry: &Entry<S, T>) -> Vec<PoolStatus> {
+    let Ok(view) = entry.view() else { return Vec::new() };
+    let Some(region) = view.region_of(&entry.settings.data_centre) else { return Vec::new() };
+    let mut pools = entry.pools();
+    {
+        let members = lock(&entry.members);
+        pools.retain(|(service, _)| {
+            let service = view.document.service(service);
+            service.is_some_and(|id| members.is_owner(clock::now(), view.pool(id, region)))
+        });
+    }
+    let status = pools.into_iter().map(|(service, driver)| PoolStatus {
+        service,
+        region: view.document.regions[region].name.clone(),
+        free: driver.free_slots(),
+        queued: driver.queued(),
+    });
+    status.collect()
+}
+
+/// Follows the load reports of the targets of pools that this entry owns or has work in.
 pub(crate) async fn poll_loads<S: Store, T: Target>(entry: Arc<Entry<S, T>>) {
     loop {
-        for vm in own_targets(&entry) {
-            let entry = entry.clone();
-            smol::spawn(async move { read_load(&entry, &vm).await }).detach();
-        }
         for (service, driver) in entry.pools() {
             let gauge = entry.gauges.free_slots.get_or_create(&ServiceLabels { service });
             gauge.set(i64::from(driver.free_slots()));
         }
+        let owned = owned_pools(&entry);
+        for (service, driver) in entry.pools() {
+            let is_owned = owned.iter().any(|pool| pool.service == service);
+            if !is_owned && driver.len() == 0 {
+                continue;
+            }
+            for (target, address) in driver.targets() {
+                smol::spawn(read_load(entry.clone(), driver.clone(), target, address)).detach();
+            }
+        }
         Timer::after(LOAD_INTERVAL).await;
     }
 }
 
-async fn read_load<S: Store, T: Target>(entry: &Entry<S, T>, vm: &Vm) {
-    let Some(load) = entry.target.load(vm.address).await else { return };
-    let target = lock(&entry.names).targets.key(&vm.name);
-    let Some(service) = &vm.service else { return };
-    entry.pool(service).note_load(target, Load { busy: load.busy, queued: load.queued });
+async fn read_load<S: Store, T: Target>(
+    entry: Arc<Entry<S, T>>,
+    driver: Arc<Driver<T>>,
+    target: TargetId,
+    address: SocketAddr,
+) {
+    match entry.target.load(address).await {
+        Some(load) => {
+            if driver.note_load(target, load) {
+                note(Event::TargetLeaving, format_args!("{address} says so"));
+            }
+        }
+        None => drop(entry.gauges.load_failures.inc()),
+    }
 }
 
 /// The listed targets of the own region.
@@ -103,7 +177,7 @@
 }
 
 /// Tells the pools which targets there are.
-fn refresh_targets<S: Store, T: Target>(entry: &Arc<Entry<S, T>>) {
+pub(crate) fn refresh_targets<S: Store, T: Target>(entry: &Arc<Entry<S, T>>) {
     let Ok(view) = entry.view() else { return };
     let now_s = clock::unix_s();
     let mut listed = HashSet::new();
@@ -119,9 +193,15 @@
         let target = lock(&entry.names).targets.key(&vm.name);
         listed.insert(target);
         let spec = Spec { slots: slots.unwrap_or(1), state };
-        entry.pool(service).set_target(target, vm.address, spec);
+        if entry.pool(service).set_target(target, vm.address, spec) {
+            let event = if is_leaving { Event::TargetLeaving } else { Event::TargetFound };
+            note(event, format_args!("{} at {}", vm.name, vm.address));
+        }
     }
-    for (_, driver) in entry.pools() {
-        driver.retain_targets(&listed);
+    for (service, driver) in entry.pools() {
+        let gone = driver.retain_targets(&listed);
+        if gone > 0 {
+            note(Event::TargetGone, format_args!("{gone} of {service}"));
+        }
     }
 }
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -3,10 +3,12 @@
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 
-use ebonypass_core::id::{CentreId, KindId, MemberId, RegionId, ServiceId};
+use ebonypass_core::block::Table;
+use ebonypass_core::id::{CentreId, Key, KindId, MemberId, RegionId, ServiceId};
 use ebonypass_core::outcome::Reason;
 use ebonypass_core::policy::Document;
 use ebonypass_core::pool::Flow;
+use ebonypass_core::roster::PoolKey;
 use ebonypass_core::time::Span;
 
 use crate::names::Catalogue;
@@ -18,7 +20,19 @@
     pub(crate) version: u64,
     /// The document.
     pub(crate) document: Document,
+    /// The document's text, as peers ask for it.
+    pub(crate) text: String,
     services: HashMap<String, ServiceView>,
+    blocks: Table,
+    /// Pools by service, then by region.
+    pools: Vec<Vec<PoolKey>>,
+}
+
+/// A checked document with its text.
+#[derive(Debug)]
+pub(crate) struct Parsed {
+    pub(crate) document: Document,
+    pub(crate) text: String,
 }
 
 #[derive(Debug)]
@@ -49,8 +63,9 @@
 }
 
 impl View {
-    /// Prepares `document`.
-    pub(crate) fn new(version: u64, document: Document, names: &mut Catalogue) -> View {
+    /// Prepares a document.
+    pub(crate) fn new(version: u64, parsed: &Parsed, names: &mut Catalogue) -> View {
+        let (document, text) = (parsed.document.clone(), parsed.text.clone());
         let mut services = HashMap::new();
         for (id, service) in document.services.iter() {
             let members = service.members.iter().map(|&member| &document.members[member].name);
@@ -64,7 +79,18 @@
             let view = ServiceView { id, members, kinds: kinds.collect() };
             services.insert(service.name.clone(), view);
         }
-        View { version, document, services }
+        let regions = || (0..document.regions.len()).map(RegionId::from_index);
+        let pools = document.services.iter().map(|(service, _)| {
+            regions().map(|region| PoolKey::new(&document, service, region)).collect()
+        });
+        let pools = pools.collect();
+        let blocks = Table::with_blocks(&document.blocks);
+        View { version, document, text, services, blocks, pools }
+    }
+
+    /// The pool of `service` in `region`.
+    pub(crate) fn pool(&self, service: ServiceId, region: RegionId) -> PoolKey {
+        self.pools[service.index()][region.index()]
     }
 
     /// What the policy says about work of `kind` that `member` asks `service` for.
@@ -97,13 +123,7 @@
 
     /// The data centre closest to the clients of `network`.
     pub(crate) fn centre(&self, network: Ipv4Addr) -> Result<CentreId, Reason> {
-        let blocks = self.document.blocks.iter();
-        let holds = blocks.filter(|block| {
-            let mask = u32::MAX << (32 - u32::from(block.prefix));
-            network.to_bits() & mask == block.network.to_bits()
-        });
-        let longest = holds.max_by_key(|block| block.prefix);
-        longest.map(|block| block.centre).ok_or(Reason::UnknownBlock)
+        self.blocks.find(network).ok_or(Reason::UnknownBlock)
     }
 
     /// The region of the data centre called `name`.
--- a/crates/entry/tests/fake/mod.rs
+++ b/crates/entry/tests/fake/mod.rs
@@ -319,8 +319,12 @@
 
     /// Starts an entry in this process.
     pub fn start(&self, name: &str, centre: &str, store: SocketAddr, more: &str) -> Server {
-        let text = self.settings(name, centre, store, more);
-        let settings: Settings = settings::scan(&text, Path::new(&self.path)).expect("settings");
+        self.start_text(&self.settings(name, centre, store, more))
+    }
+
+    /// Starts an entry with the settings `text`.
+    pub fn start_text(&self, text: &str) -> Server {
+        let settings: Settings = settings::scan(text, Path::new(&self.path)).expect("settings");
         smol::block_on(async { Server::start(settings) }).expect("start")
     }
 }
@@ -393,11 +397,21 @@
     call(address, "GET", path, "", b"").expect("reply")
 }
 
+/// A request key that the entry at `address` vouches for.
+pub fn key(address: SocketAddr, nonce: &str) -> String {
+    let answer = lookup(address).json();
+    format!("{}/{nonce}", answer["arbiter"].as_str().expect("arbiter"))
+}
+
+/// Sends a run request of the non-idempotent kind with `key`.
+pub fn log_with(address: SocketAddr, key: &str) -> Option<Got> {
+    let headers = format!("{HEADERS}ebonypass-key: {key}\r\n");
+    call(address, "POST", "/v1/run/rounds/log", &headers, b"swap")
+}
+
 /// Sends a run request of the non-idempotent kind with a fresh request key of `address`.
 pub fn log(address: SocketAddr, nonce: &str) -> Option<Got> {
-    let arbiter = lookup(address).json()["arbiter"].as_str().expect("arbiter").to_owned();
-    let headers = format!("{HEADERS}ebonypass-key: {arbiter}/{nonce}\r\n");
-    call(address, "POST", "/v1/run/rounds/log", &headers, b"swap")
+    log_with(address, &key(address, nonce))
 }
 
 /// Waits until `is_true`, at most 10 s.
@@ -436,6 +450,66 @@
     }
 }
 
+/// Some entries that know each other by the VM list.
+pub struct Mesh {
+    pub folder: Folder,
+    pub store: Store,
+    pub servers: Vec<Server>,
+    targets: Vec<Value>,
+}
+
+impl Mesh {
+    /// Starts one entry for each of `places`, which are names and data centres, and waits until
+    /// each knows the others.
+    pub fn new(name: &str, places: &[(&str, &str)], targets: &[&Target], more: &str) -> Mesh {
+        let (folder, store) = (Folder::new(name), Store::new());
+        store.set_policy(7, POLICY);
+        let start =
+            |&(name, centre): &(&str, &str)| folder.start(name, centre, store.address, more);
+        let servers: Vec<Server> = places.iter().map(start).collect();
+        let targets = targets.iter().map(|target| target.vm("live")).collect();
+        let mesh = Mesh { folder, store, servers, targets };
+        mesh.list(places);
+        let others = places.len() as f64 - 1.0;
+        for server in &mesh.servers {
+            let admin = server.admin_address();
+            wait_until("peers", || metric(admin, "peers") == others);
+            wait_until("policy", || metric(admin, "policy_version") == 7.0);
+            if !mesh.targets.is_empty() {
+                wait_until("targets", || lookup(server.caller_address()).status == 200);
+            }
+        }
+        // Targets are read with the VM list, once a second.
+        thread::sleep(Duration::from_millis(1_100));
+        mesh
+    }
+
+    /// Lists the entries of `places` and the targets.
+    pub fn list(&self, places: &[(&str, &str)]) {
+        let entries = places.iter().zip(&self.servers).map(|((name, centre), server)| {
+            entry_vm(name, centre, server.caller_address(), server.peer_address())
+        });
+        self.store.set_vms(entries.chain(self.targets.iter().cloned()).collect());
+    }
+
+    /// The position of the entry that look-ups name first, and of another one.
+    pub fn owner(&self) -> (usize, usize) {
+        let answer = lookup(self.servers[0].caller_address()).json();
+        let address = answer["entries"][0]["address"].as_str().expect("entry").to_owned();
+        let is_it = |server: &Server| server.caller_address().to_string() == address;
+        let owner = self.servers.iter().position(is_it).expect("owner");
+        (owner, (owner + 1) % self.servers.len())
+    }
+
+    pub fn address(&self, index: usize) -> SocketAddr {
+        self.servers[index].caller_address()
+    }
+
+    pub fn admin(&self, index: usize) -> SocketAddr {
+        self.servers[index].admin_address()
+    }
+}
+
 /// The sum of the samples of a metric, whatever their labels.
 pub fn metric(admin: SocketAddr, name: &str) -> f64 {
     let page = call(admin, "GET", "/metrics", "", b"").expect("metrics");
--- a/crates/entry/tests/serve.rs
+++ b/crates/entry/tests/serve.rs
@@ -121,7 +121,7 @@
 fn foreign_key() {
     let target = Target::echo("rounds-zurich-1-01");
     let world = World::new("foreign-key", &[&target], "");
-    let headers = format!("{HEADERS}ebonypass-key: zurich-1-a.other.5/n1\r\n");
+    let headers = format!("{HEADERS}ebonypass-key: zurich-1-a.7f.5/n1\r\n");
     let got = call(world.address(), "POST", "/v1/run/rounds/log", &headers, b"x").expect("reply");
     assert_eq!(got.summary(), "502 unknown EP-3003");
     assert!(target.runs().is_empty());
