--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -210,7 +210,8 @@
         let body = payload::reply(&job.body, job.work.reply_bytes);
         let (is_lost, is_cut) = {
             let fault = &mut self.lock().fault;
-            (take_one(&mut fault.lose_replies), take_one(&mut fault.cut_replies))
+            let is_lost = take_one(&mut fault.lose_replies);
+            (is_lost, !is_lost && take_one(&mut fault.cut_replies))
         };
         if is_lost {
             return no_reply(conn);
--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -187,24 +187,29 @@
     });
 }
 
-/// A cut or lost reply must fail at the client, and its run must be recorded.
-#[test_case(r#"{"cut_replies":1}"#; "cut")]
-#[test_case(r#"{"lose_replies":1}"#; "lost")]
-fn broken_reply(fault: &str) {
+/// A cut or lost reply must fail at the client, its run must be recorded, and each fault must break
+/// as many replies as stated, also beside the other one.
+#[test_case(r#"{"cut_replies":1}"#, &["cut"]; "cut")]
+#[test_case(r#"{"lose_replies":1}"#, &["lost"]; "lost")]
+#[test_case(r#"{"cut_replies":1,"lose_replies":1}"#, &["lost", "cut"]; "both")]
+fn broken_reply(fault: &str, expected: &[&str]) {
     run(async {
         let server = start(shape()).await;
         server.post("/fault", fault).await;
-        match request(&server, "lookup", "1").await {
-            Ok(mut conn) => {
-                let length = conn.response_body().content_length();
-                assert_eq!(length, Some(5_000));
-                let reply = conn.response_body().read_bytes().await;
-                assert!(reply.is_err() || reply.is_ok_and(|reply| reply.len() < 5_000));
-            }
-            Err(error) => assert!(fault.contains("lose"), "{error}"),
+        for (id, kind) in expected.iter().enumerate() {
+            let found = match request(&server, "lookup", &id.to_string()).await {
+                Ok(mut conn) => {
+                    assert_eq!(conn.response_body().content_length(), Some(5_000));
+                    let reply = conn.response_body().read_bytes().await;
+                    assert!(reply.is_err() || reply.is_ok_and(|reply| reply.len() < 5_000));
+                    "cut"
+                }
+                Err(_) => "lost",
+            };
+            assert_eq!(found, *kind);
         }
-        assert_eq!(ran(&server).await, ["1"]);
-        assert_eq!(send(request(&server, "lookup", "2")).await, (200, false));
+        assert_eq!(ran(&server).await.len(), expected.len());
+        assert_eq!(send(request(&server, "lookup", "last")).await, (200, false));
         server.close().await;
     });
 }
