Measure what an entry costs at several numbers of entries

Cause: CAPACITY.md needs processor time, memory, peer bytes and store calls of the real process. Ruled out: byte counts of the loopback interface, because other programs share it.

--- a/crates/entry/src/gauge.rs
+++ b/crates/entry/src/gauge.rs
@@ -58,6 +58,7 @@
     pub(crate) forwarded: Counter,
     pub(crate) claims: Gauge,
     pub(crate) peers: Gauge,
+    pub(crate) peer_bytes: Gauge,
     pub(crate) limited: Family<LimitLabels, Counter>,
 }
 
@@ -80,6 +81,7 @@
             forwarded: Counter::default(),
             claims: Gauge::default(),
             peers: Gauge::default(),
+            peer_bytes: Gauge::default(),
             limited: Family::default(),
         };
         let g = &gauges;
@@ -99,6 +101,7 @@
         r.register("forwarded", "Requests that peers forwarded here", g.forwarded.clone());
         r.register("claims", "Request keys held", g.claims.clone());
         r.register("peers", "Peers that are live", g.peers.clone());
+        r.register("peer_bytes", "Bytes of the present links to peers", g.peer_bytes.clone());
         r.register("limited", "Connections and requests ended by a limit", g.limited.clone());
         gauges
     }
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -50,6 +50,12 @@
         self.seeds = seeds.iter().map(|&seed| endpoint.link(None, seed)).collect();
     }
 
+    /// Bytes sent and received on the present connections to peers.
+    pub(crate) fn bytes(&self) -> u64 {
+        let ways = self.links.values().map(|way| &way.link);
+        ways.chain(&self.seeds).map(|link| link.bytes()).sum()
+    }
+
     /// Takes in the VM list: entries to connect to, and those that are leaving.
     pub(crate) fn note_vms(
         &mut self,
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -105,6 +105,7 @@
     members.send_status(entry.is_leaving(), pools, 0);
     let live = members.roster.ready(clock::now()).count().saturating_sub(1);
     entry.gauges.peers.set(live as i64);
+    entry.gauges.peer_bytes.set(members.bytes() as i64);
 }
 
 /// The pools that this entry owns.
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -160,6 +160,12 @@
         lock(&self.connection).is_some()
     }
 
+    /// UDP payload bytes sent and received on the present connection, acknowledgements included.
+    pub fn bytes(&self) -> u64 {
+        let stats = lock(&self.connection).as_ref().map(Connection::stats);
+        stats.map_or(0, |stats| stats.udp_tx.bytes + stats.udp_rx.bytes)
+    }
+
     /// Sends a frame that needs no answer on its stream. Returns whether it was queued.
     pub fn send(&self, frame: Frame) -> bool {
         self.is_connected() && self.queue.try_send(frame).is_ok()
