Let two entries of each data centre read the VM list and write its status

Ruled out: a longer interval for everybody (a leaving target must be seen within 5 s); one reader only (its death would leave 2 s without a list). Change: the two policy watchers of a data centre read the list and pass it on when it changes and every 5 s; an entry without a list for 12 s reads it itself; the first delegate writes the status when it changes. What drains wait for is not in the status yet.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -349,6 +349,14 @@
         }
     }
 
+    /// The live entries of a data centre, this process included.
+    pub fn live_in(&self, now: Instant, data_centre: &str) -> impl Iterator<Item = EntryId> {
+        let is_there = move |&entry: &EntryId| {
+            self.entries[entry].data_centre == data_centre && self.is_live(now, entry)
+        };
+        self.keys().filter(is_there)
+    }
+
     /// Entries that take new work, in no order that other processes share.
     pub fn ready(&self, now: Instant) -> impl Iterator<Item = EntryId> {
         self.keys().filter(move |&entry| self.is_ready(now, entry))
--- a/crates/entry/src/gauge.rs
+++ b/crates/entry/src/gauge.rs
@@ -57,6 +57,7 @@
     pub(crate) in_flight: Gauge,
     pub(crate) forwarded: Counter,
     pub(crate) claims: Gauge,
+    pub(crate) vms: Gauge,
     pub(crate) peers: Gauge,
     pub(crate) peer_bytes: Gauge,
     pub(crate) limited: Family<LimitLabels, Counter>,
@@ -80,6 +81,7 @@
             in_flight: Gauge::default(),
             forwarded: Counter::default(),
             claims: Gauge::default(),
+            vms: Gauge::default(),
             peers: Gauge::default(),
             peer_bytes: Gauge::default(),
             limited: Family::default(),
@@ -100,6 +102,7 @@
         r.register("in_flight", "Requests of callers and peers in flight", g.in_flight.clone());
         r.register("forwarded", "Requests that peers forwarded here", g.forwarded.clone());
         r.register("claims", "Request keys held", g.claims.clone());
+        r.register("vms", "VMs on the platform's list", g.vms.clone());
         r.register("peers", "Peers that are live", g.peers.clone());
         r.register("peer_bytes", "Bytes of the present links to peers", g.peer_bytes.clone());
         r.register("limited", "Connections and requests ended by a limit", g.limited.clone());
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry process: look-ups, queueing and forwarding.
 
 mod claim;
+mod delegate;
 mod driver;
 mod forward;
 mod gauge;
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -142,6 +142,21 @@
         self.follower.set_watcher(watchers.contains(&Some(self.roster.own())));
     }
 
+    /// The ways to the live entries of `data_centre`.
+    pub(crate) fn links_in(&self, now: Instant, data_centre: &str) -> Vec<Arc<Link>> {
+        let others = self.roster.live_in(now, data_centre);
+        others.filter_map(|entry| self.link(self.roster.name(entry))).collect()
+    }
+
+    /// The policy version that each live entry of `data_centre` has in force.
+    pub(crate) fn versions_in(&self, now: Instant, data_centre: &str) -> Vec<u64> {
+        let version = |entry| match entry == self.roster.own() {
+            true => self.follower.version(),
+            false => self.roster.version(entry),
+        };
+        self.roster.live_in(now, data_centre).map(version).collect()
+    }
+
     /// The way to the entry called `name`.
     pub(crate) fn link(&self, name: &str) -> Option<Arc<Link>> {
         self.links.get(name).map(|way| way.link.clone())
--- a/crates/entry/src/mesh.rs
+++ b/crates/entry/src/mesh.rs
@@ -14,6 +14,7 @@
 use ebonypass_node::wire::{Frame, Hello};
 
 use crate::claim::answer_claim;
+use crate::delegate::note_list;
 use crate::forward::serve_forward;
 use crate::policy::advance;
 use crate::state::Entry;
@@ -36,6 +37,9 @@
                 lock(&self.0.members).note_status(now, &status, view.as_deref());
                 advance(&self.0);
             }
+            Frame::Vms(vms) if from.data_centre == self.0.settings.data_centre => {
+                note_list(&self.0, vms);
+            }
             _ => note(Event::FrameRefused, format_args!("{}: not expected", from.process)),
         }
     }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -25,7 +25,7 @@
 use crate::run::Run;
 use crate::settings::Settings;
 use crate::state::Entry;
-use crate::{policy, tasks};
+use crate::{delegate, policy, tasks};
 
 /// Time between two looks at the work in flight of a stopping process.
 const STOP_INTERVAL: Duration = Duration::from_millis(20);
@@ -88,7 +88,7 @@
             )),
             smol::spawn(sweep(entry.target.clone())),
             smol::spawn(tasks::send_status(entry.clone())),
-            smol::spawn(tasks::poll_vms(entry.clone())),
+            smol::spawn(delegate::run(entry.clone())),
             smol::spawn(tasks::poll_loads(entry.clone())),
         ];
         note(Event::Started, format_args!("{} callers {caller_address}", entry.process));
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -10,6 +10,7 @@
 use ebonypass_core::key::Journal;
 use ebonypass_core::outcome::Reason;
 use ebonypass_core::roster::{Incarnation, Process};
+use ebonypass_core::time::Instant;
 use ebonypass_node::clock;
 use ebonypass_node::event::{Event, note};
 use ebonypass_node::peer::Endpoint;
@@ -36,6 +37,8 @@
     pub(crate) caller_address: OnceLock<SocketAddr>,
     pub(crate) view: ArcSwapOption<View>,
     pub(crate) vms: ArcSwap<Vec<Vm>>,
+    /// When `vms` was last read or received.
+    pub(crate) vms_at: Mutex<Option<Instant>>,
     pub(crate) leaving: AtomicBool,
     store_lost: AtomicBool,
     pub(crate) members: Mutex<Members>,
@@ -60,6 +63,7 @@
             caller_address: OnceLock::new(),
             view: ArcSwapOption::empty(),
             vms: ArcSwap::default(),
+            vms_at: Mutex::default(),
             leaving: AtomicBool::new(false),
             store_lost: AtomicBool::new(false),
             members: Mutex::new(members),
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -29,30 +29,16 @@
 /// Time between two heartbeats.
 const STATUS_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time between two readings of the VM list.
-const VM_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Time between two readings of a target's load.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Follows the VM list.
-pub(crate) async fn poll_vms<S: Store, T: Target>(entry: Arc<Entry<S, T>>) {
-    loop {
-        match entry.store.vms().await {
-            Ok(vms) => note_vms(&entry, vms),
-            Err(_) => entry.note_store(false),
-        }
-        // Planned drains begin and end by the clock, also while the list cannot be read.
-        refresh_targets(&entry);
-        Timer::after(VM_INTERVAL).await;
-    }
-}
-
-fn note_vms<S: Store, T: Target>(entry: &Entry<S, T>, vms: Vec<Vm>) {
+/// Takes in a VM list.
+pub(crate) fn note_vms<S: Store, T: Target>(entry: &Entry<S, T>, vms: Vec<Vm>) {
     let view = entry.view.load();
     if let Some(endpoint) = entry.endpoint.get() {
         lock(&entry.members).note_vms(clock::now(), endpoint, &vms, view.as_deref());
     }
+    entry.gauges.vms.set(vms.len() as i64);
     entry.vms.store(Arc::new(vms));
 }
 
--- a/crates/entry/tests/fake/mod.rs
+++ b/crates/entry/tests/fake/mod.rs
@@ -105,6 +105,7 @@
 struct Objects {
     objects: BTreeMap<String, (u64, Vec<u8>)>,
     vms: Vec<Value>,
+    vm_reads: u64,
     outage: bool,
 }
 
@@ -129,6 +130,11 @@
         self.state.lock().expect("lock").vms = vms;
     }
 
+    /// Number of times that the VM list was read.
+    pub fn vm_reads(&self) -> u64 {
+        self.state.lock().expect("lock").vm_reads
+    }
+
     pub fn set_outage(&self, outage: bool) {
         self.state.lock().expect("lock").outage = outage;
     }
@@ -153,6 +159,7 @@
             return reply(503, "", b"");
         }
         if path == "/vms" {
+            state.vm_reads += 1;
             return reply(200, "", json!({"vms": state.vms}).to_string().as_bytes());
         }
         let key = path.strip_prefix("/objects/").expect("known path").to_owned();
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -76,17 +76,17 @@
     /// What it is used for.
     pub role: Role,
     /// The service of a target.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub service: Option<String>,
     /// Where it runs.
     pub data_centre: String,
     /// Where it takes requests.
     pub address: SocketAddr,
     /// Where an entry takes peers' connections.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub peer: Option<SocketAddr>,
     /// Slots of a target.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub slots: Option<u32>,
     /// Whether it will stop soon.
     pub state: Life,
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -15,6 +15,8 @@
 use serde::{Deserialize, Serialize};
 use smol::io::{AsyncRead, AsyncReadExt};
 
+use crate::store::Vm;
+
 /// Number of the protocol. Entries refuse connections with another one.
 pub const PROTOCOL: u32 = 1;
 
@@ -113,6 +115,8 @@
     Claim(Ask),
     /// Answers [`Frame::Claim`]; none if another process issued the key's token.
     ClaimReply(Option<Answer>),
+    /// The VM list, from a delegate of the receiver's data centre.
+    Vms(Vec<Vm>),
     /// A request for the receiver's pool.
     Forward(Forward),
     /// Answers [`Frame::Forward`].
