Close targets that keep shedding; measure cost and memory

A kind whose answers take no time by the clock counted as long. One allocation in 40,000 requests: a list of jobs that wait for a hedge grew while the budget was empty.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -37,7 +37,11 @@
 const PROBE_PATIENCE: Span = Span::from_secs(1);
 /// Bounds of the time for which a target that sheds is left alone.
 const FIRST_REST: Span = Span::from_millis(2);
-const LAST_REST: Span = Span::from_millis(500);
+const LAST_REST: Span = Span::from_millis(128);
+/// Refusals without an answer in between after which a target counts as leaving: it gets no work
+/// until its load report or the driver says something new of it, or until this time has passed.
+const CLOSING_SHEDS: u32 = 8;
+const CLOSED_FOR: Span = Span::from_secs(60);
 /// A load report older than this says nothing about the queue of the target.
 const LOAD_LIFETIME: Span = Span::from_secs(1);
 /// A target whose reports have stopped for this long is used with caution.
@@ -69,6 +73,8 @@
     suspicion: Option<Suspicion>,
     rest: Span,
     rest_until: Instant,
+    sheds: u32,
+    closed_until: Option<Instant>,
     load: Option<(Instant, Load)>,
 }
 
@@ -87,12 +93,19 @@
             suspicion: None,
             rest: Span::ZERO,
             rest_until: Instant::ZERO,
+            sheds: 0,
+            closed_until: None,
             load: None,
         }
     }
 
     fn is_ready(&self) -> bool {
-        self.spec.state == State::Ready
+        self.spec.state == State::Ready && self.closed_until.is_none()
+    }
+
+    fn reopen(&mut self) {
+        self.closed_until = None;
+        self.sheds = 0;
     }
 
     fn is_usable(&self) -> bool {
@@ -130,6 +143,7 @@
     free_slots: u32,
     long_in_flight: u32,
     suspects: u32,
+    closed: u32,
 }
 
 impl Places {
@@ -149,6 +163,7 @@
                     place.last_answer = None;
                 }
                 self.places[id].spec = spec;
+                self.places[id].reopen();
             }
             None => match self.places.find(unused) {
                 Some(id) => self.places[id] = Place::new(target, spec),
@@ -164,6 +179,10 @@
     pub(crate) fn note_load(&mut self, now: Instant, target: TargetId, load: Load) {
         if let Some(id) = self.places.find(|place| place.target == target) {
             self.places[id].load = Some((now, load));
+            if self.places[id].closed_until.is_some() {
+                self.places[id].reopen();
+                self.recount();
+            }
         }
     }
 
@@ -303,6 +322,7 @@
         let place = &mut self.places[id];
         place.last_answer = Some(now);
         place.rest = Span::ZERO;
+        place.sheds = 0;
         if time <= cost.p90() {
             place.points = place.points.saturating_sub(RELIEF_POINTS);
         }
@@ -322,6 +342,11 @@
         let place = &mut self.places[id];
         place.rest = place.rest.times(2).max(FIRST_REST).min(LAST_REST);
         place.rest_until = now + place.rest;
+        place.sheds += 1;
+        if place.sheds >= CLOSING_SHEDS && place.is_ready() {
+            place.closed_until = Some(now + CLOSED_FOR);
+            self.recount();
+        }
     }
 
     /// Makes a target a suspect after an error.
@@ -369,6 +394,17 @@
         }
     }
 
+    /// Reopens targets that were taken to be leaving, when nothing new was heard of them for long.
+    pub(crate) fn reopen(&mut self, now: Instant) {
+        if self.closed == 0 {
+            return;
+        }
+        let places = self.places.values_mut();
+        let due = places.filter(|place| place.closed_until.is_some_and(|until| now >= until));
+        due.for_each(Place::reopen);
+        self.recount();
+    }
+
     /// Re-admits idle suspects that have been due for a probe for long: the pool has no job that
     /// could probe them. The next slow or failed attempt makes such a target a suspect again.
     pub(crate) fn readmit_idle(&mut self, now: Instant) {
@@ -425,6 +461,8 @@
         let ready = self.places.values().filter(|place| place.is_ready());
         self.ready_slots = ready.clone().map(|place| place.spec.slots).sum();
         self.suspects = ready.filter(|place| place.suspicion.is_some()).count() as u32;
+        let closed = self.places.values().filter(|place| place.closed_until.is_some());
+        self.closed = closed.count() as u32;
         let usable = self.places.values().filter(|place| place.is_usable());
         self.usable_slots = usable.clone().map(|place| place.spec.slots).sum();
         self.free_slots = usable.map(Place::free_slots).sum();
--- a/crates/core/src/cost.rs
+++ b/crates/core/src/cost.rs
@@ -35,6 +35,9 @@
 /// a kind near the limit from changing sides on each sample.
 const STILL_LONG_RATIO: u64 = 6;
 
+/// The shortest time that the clock shows.
+const CLOCK_STEP: Span = Span::from_micros(1);
+
 /// What is known of one kind.
 #[derive(Debug)]
 pub(crate) struct Cost {
@@ -204,7 +207,8 @@
             } else {
                 LONG_RATIO
             };
-            cost.is_long = !cost.is_known() || cost.mean >= self.shortest.times(ratio);
+            cost.is_long =
+                !cost.is_known() || cost.mean >= self.shortest.max(CLOCK_STEP).times(ratio);
         }
     }
 }
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -159,10 +159,21 @@
             && record.attempts < limit;
         if may_hedge {
             record.wants_hedge = true;
+            if self.hedges.len() == self.hedges.capacity() {
+                self.prune_hedges();
+            }
             self.hedges.push_back(self.jobs.ticket(id));
         }
     }
 
+    /// Removes jobs that no longer need a hedge from the list, which would grow otherwise while
+    /// the budget is empty.
+    fn prune_hedges(&mut self) {
+        let mut hedges = std::mem::take(&mut self.hedges);
+        hedges.retain(|&ticket| self.hedge_wish(ticket).is_some());
+        self.hedges = hedges;
+    }
+
     fn launch(
         &mut self,
         now: Instant,
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -71,6 +71,11 @@
         Arena { items: Vec::new(), key: PhantomData }
     }
 
+    /// An empty arena with room for `room` values.
+    pub fn with_capacity(room: usize) -> Arena<K, V> {
+        Arena { items: Vec::with_capacity(room), key: PhantomData }
+    }
+
     /// Adds `value` and returns its key.
     pub fn push(&mut self, value: V) -> K {
         let key = K::from_index(self.items.len());
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -92,13 +92,18 @@
 }
 
 /// The table of jobs.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Jobs {
     records: Arena<JobId, Record>,
     free: Vec<JobId>,
 }
 
 impl Jobs {
+    /// An empty table with room for `room` jobs.
+    pub(crate) fn with_capacity(room: usize) -> Jobs {
+        Jobs { records: Arena::with_capacity(room), free: Vec::with_capacity(room) }
+    }
+
     /// Adds a job that waits.
     pub(crate) fn open(&mut self, job: Job, lane: LaneId, cost: CostId) -> JobId {
         let record = Record {
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -155,6 +155,10 @@
 /// traffic fails no idempotent job.
 const RETRY_BURST: u32 = 10;
 
+/// Jobs for which memory is set aside at the start. More jobs at once than ever before make the
+/// tables grow; then they stay as large.
+const ROOM: usize = 256;
+
 /// The queue and the targets of one pool.
 #[derive(Debug)]
 pub struct Pool {
@@ -179,16 +183,16 @@
         Pool {
             config,
             now: Instant::ZERO,
-            jobs: Jobs::default(),
+            jobs: Jobs::with_capacity(ROOM),
             costs: Costs::default(),
-            queue: Queue::default(),
+            queue: Queue::with_capacity(ROOM),
             demand: Demand::default(),
             places: Places::default(),
-            timers: Timers::default(),
+            timers: Timers::with_capacity(ROOM),
             hedge_budget: Budget::new(config.hedge_percent, 1),
             retry_budget: Budget::new(config.retry_percent, RETRY_BURST).with_full(),
-            hedges: VecDeque::new(),
-            outbox: VecDeque::new(),
+            hedges: VecDeque::with_capacity(ROOM),
+            outbox: VecDeque::with_capacity(ROOM),
         }
     }
 
@@ -220,6 +224,7 @@
         if let Some(action) = self.outbox.pop_front() {
             return Some(action);
         }
+        self.places.reopen(now);
         self.places.readmit_idle(now);
         let hedge = self.next_hedge(now);
         let probe = hedge.or_else(|| self.next_probe(now));
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -69,6 +69,11 @@
 }
 
 impl Queue {
+    /// An empty queue with room for `room` jobs.
+    pub(crate) fn with_capacity(room: usize) -> Queue {
+        Queue { links: Vec::with_capacity(room), ..Queue::default() }
+    }
+
     /// Sets how much slot time a flow that used less than its share may later take ahead of
     /// others. Without it, the bursts of a flow that keeps to its share wait behind a greedy one.
     pub(crate) fn set_credit(&mut self, credit: Span) {
--- a/crates/core/src/settle.rs
+++ b/crates/core/src/settle.rs
@@ -93,6 +93,9 @@
             }
             Report::Shed if !flight.is_cancelled => {
                 self.places.shed(now, flight.place);
+                if self.places.ready_slots() == 0 {
+                    self.refuse_all();
+                }
                 false
             }
             _ => {
--- a/crates/core/src/timer.rs
+++ b/crates/core/src/timer.rs
@@ -11,13 +11,18 @@
 const NOWHERE: u32 = u32::MAX;
 
 /// At most one time for each job.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Timers {
     heap: Vec<(Instant, JobId)>,
     places: Vec<u32>,
 }
 
 impl Timers {
+    /// No times, with room for those of `room` jobs.
+    pub(crate) fn with_capacity(room: usize) -> Timers {
+        Timers { heap: Vec::with_capacity(room), places: Vec::with_capacity(room) }
+    }
+
     /// The earliest time and its job.
     pub(crate) fn first(&self) -> Option<(Instant, JobId)> {
         self.heap.first().copied()
--- /dev/null
+++ b/crates/core/tests/steady_memory.rs
@@ -0,0 +1,70 @@
+//! Memory of a pool in steady state, counted by the allocator.
+
+// The allocator counts for the whole process, so this file holds one test only.
+
+use std::alloc::System;
+
+use ebonypass_core::id::{KindId, MemberId, TargetId};
+use ebonypass_core::pool::{
+    Action, Attempt, Config, Flow, Job, Load, Pool, Report, Spec, State, Ticket,
+};
+use ebonypass_core::time::{Instant, Span};
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const ROUNDS: u64 = 20_000;
+
+/// Runs requests of eight flows through overload, hedges, sheds and losses in turn.
+fn run(
+    pool: &mut Pool,
+    flights: &mut Vec<(Ticket, Attempt, Instant)>,
+    rounds: std::ops::Range<u64>,
+) {
+    for round in rounds {
+        let now = Instant::from_micros(round * 250);
+        let flow = Flow { member: MemberId((round % 4) as u16), kind: KindId((round % 2) as u16) };
+        let deadline = now + Span::from_millis(40);
+        let _ = pool.offer(now, Job { flow, deadline, idempotent: round % 2 == 0 });
+        let mut place = 0;
+        while place < flights.len() {
+            if flights[place].2 > now {
+                place += 1;
+                continue;
+            }
+            let (ticket, attempt, _) = flights.swap_remove(place);
+            let report = match round % 500 {
+                0 => Report::Lost,
+                1 => Report::Shed,
+                _ => Report::Answered,
+            };
+            pool.report(now, ticket, attempt, report);
+        }
+        pool.note_load(now, TargetId((round % 4) as u32), Load { busy: 3, queued: 0 });
+        while let Some(action) = pool.next_action(now) {
+            if let Action::Dispatch { ticket, attempt, .. }
+            | Action::Hedge { ticket, attempt, .. } = action
+            {
+                let service = if round % 50 == 0 { 40_000 } else { 2_000 + round * 7 % 2_500 };
+                flights.push((ticket, attempt, now + Span::from_micros(service)));
+            }
+        }
+    }
+}
+
+/// Guards against allocations per request, which cost time and memory at each decision.
+#[test]
+fn no_allocation() {
+    let mut pool = Pool::new(Config::default());
+    for target in 0..4 {
+        let spec = Spec { slots: 3, state: State::Ready };
+        pool.set_target(Instant::ZERO, TargetId(target), spec);
+    }
+    let mut flights = Vec::with_capacity(64);
+    run(&mut pool, &mut flights, 0..ROUNDS);
+    let region = Region::new(ALLOCATOR);
+    run(&mut pool, &mut flights, ROUNDS..3 * ROUNDS);
+    let change = region.change();
+    assert_eq!(change.allocations + change.reallocations, 0, "in {} requests", 2 * ROUNDS);
+}
--- a/crates/core/tests/stragglers.rs
+++ b/crates/core/tests/stragglers.rs
@@ -5,7 +5,7 @@
 use common::{Driver, Times, at, flow, ready};
 use ebonypass_core::id::TargetId;
 use ebonypass_core::outcome::{Outcome, Reason};
-use ebonypass_core::pool::{Action, Config, Job, Pool, Report, Spec, State};
+use ebonypass_core::pool::{Action, Config, Job, Load, Pool, Report, Spec, State};
 use test_case::test_case;
 
 const MEAN_US: f64 = 4_000.0;
@@ -92,3 +92,41 @@
     let refused = driver.pool.next_action(at(5_000));
     assert!(matches!(refused, Some(Action::Refuse { reason: Reason::NoTarget, .. })));
 }
+
+/// Guards against requests that are sent to a leaving target again and again while the VM list and
+/// the load reports are silent.
+#[test]
+fn unseen_leave() {
+    let mut pool = Pool::new(Config::default());
+    for target in 0..2 {
+        pool.set_target(at(0), TargetId(target), ready(4));
+    }
+    let mut shed = 0;
+    for ms in 0..5_000 {
+        let now = at(ms * 1_000);
+        let deadline = at(ms * 1_000 + 40_000);
+        pool.offer(now, Job { flow: flow(0, 0), deadline, idempotent: true }).unwrap();
+        while let Some(action) = pool.next_action(now) {
+            let Action::Dispatch { ticket, attempt, target } = action else { continue };
+            let is_left = target == TargetId(1);
+            shed += u32::from(is_left);
+            let report = if is_left { Report::Shed } else { Report::Answered };
+            pool.report(now, ticket, attempt, report);
+        }
+    }
+    assert!(shed <= 8, "{shed} sent to the target that left");
+    pool.note_load(at(5_000_000), TargetId(1), Load { busy: 0, queued: 0 });
+    assert_eq!(pool.next_action(at(5_000_000)), None);
+    let deadline = at(6_000_000);
+    let mut targets = Vec::new();
+    for _ in 0..2 {
+        let now = at(5_200_000);
+        pool.offer(now, Job { flow: flow(0, 0), deadline, idempotent: true }).unwrap();
+        let Some(Action::Dispatch { ticket, attempt, target }) = pool.next_action(now) else {
+            panic!("no dispatch");
+        };
+        pool.report(now, ticket, attempt, Report::Answered);
+        targets.push(target);
+    }
+    assert!(targets.contains(&TargetId(1)), "a target that reports again gets work");
+}
