--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -58,6 +58,16 @@
     TargetId(u32)
 }
 
+key! {
+    /// An entry, in the order in which this process first heard of it.
+    EntryId(u32)
+}
+
+key! {
+    /// A source of measurements, in the order in which it was added.
+    SourceId(u32)
+}
+
 /// A vector whose positions are keys of one type.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Arena<K, V> {
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,191 @@
+//! Answers `POST /v1/run/SERVICE/KIND`.
+
+use std::sync::Arc;
+use std::time::Instant as StdInstant;
+
+use ebonypass_core::outcome::{Outcome, Reason};
+use ebonypass_core::pool::Job;
+use ebonypass_core::roster::PoolKey;
+use ebonypass_core::time::{Instant, Span};
+use ebonypass_node::peer::Link;
+use ebonypass_node::store::Store;
+use ebonypass_node::sync::lock;
+use ebonypass_node::target::{Request, Target};
+use ebonypass_node::trace::{self, Context, Span as TraceSpan};
+use ebonypass_node::{clock, peer};
+use prometheus_client::metrics::gauge::Gauge;
+use trillium::{Conn, Handler, KnownHeaderName};
+use trillium_router::RouterConnExt;
+
+use crate::claim::{Refusal, claim, settle};
+use crate::driver::Answer;
+use crate::forward::{Parcel, Rest, forward};
+use crate::gauge::{Gauges, ServiceLabels};
+use crate::reply::{PRIOR, answer, refuse, run_status};
+use crate::state::Entry;
+use crate::view::{Terms, scan_block};
+
+/// The handler of `/v1/run/:service/:kind`.
+pub(crate) struct Run<S, T: Target>(pub(crate) Arc<Entry<S, T>>);
+
+/// Counts a request for as long as it is handled, also when handling ends early.
+pub(crate) struct InFlight(Gauge);
+
+impl InFlight {
+    pub(crate) fn new(gauges: &Gauges) -> InFlight {
+        gauges.in_flight.inc();
+        InFlight(gauges.in_flight.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+/// A caller's request, read and checked.
+struct Call {
+    terms: Terms,
+    member: String,
+    request: Arc<Request>,
+    /// The pool that serves it, if the policy names this entry's data centre.
+    pool: Option<PoolKey>,
+    deadline: Instant,
+    key: Option<String>,
+    trace: Context,
+}
+
+impl<S: Store, T: Target> Handler for Run<S, T> {
+    async fn run(&self, mut conn: Conn) -> Conn {
+        let start = StdInstant::now();
+        let _in_flight = InFlight::new(&self.0.gauges);
+        let context = Context::from_header(conn.request_headers().get_str(trace::HEADER));
+        let span = TraceSpan::new(context, "entry");
+        let service = conn.param("service").unwrap_or_default().to_owned();
+        let result = match self.read(&mut conn, span.context()).await {
+            Ok(call) => self.claim(call).await,
+            Err(reason) => Ok(Answer::Failed(reason)),
+        };
+        let is_known = !matches!(result, Ok(Answer::Failed(Reason::UnknownService)));
+        span.close(match &result {
+            Ok(answer) => outcome_of(answer).as_str(),
+            Err(_) => "refused",
+        });
+        let gauges = &self.0.gauges;
+        let conn = match result {
+            Ok(Answer::Answered(reply)) => answer(conn, gauges, reply),
+            Ok(Answer::Failed(reason)) | Err(Refusal::Reason(reason)) => {
+                refuse(conn, gauges, run_status(reason), reason)
+            }
+            Err(Refusal::Repeated(prior)) => {
+                let reason = Reason::KeyRepeated;
+                refuse(conn, gauges, run_status(reason), reason).with_response_header(PRIOR, prior)
+            }
+        };
+        if is_known {
+            // Names that no policy has would make metrics without bound.
+            let latency = self.0.gauges.latency.get_or_create(&ServiceLabels { service });
+            latency.observe(start.elapsed().as_secs_f64());
+        }
+        if self.0.is_leaving() { conn.with_response_header("connection", "close") } else { conn }
+    }
+}
+
+impl<S: Store, T: Target> Run<S, T> {
+    async fn read(&self, conn: &mut Conn, trace: Context) -> Result<Call, Reason> {
+        let view = self.0.view()?;
+        let service = conn.param("service").ok_or(Reason::UnknownService)?.to_owned();
+        let kind = conn.param("kind").ok_or(Reason::UnknownKind)?.to_owned();
+        let headers = conn.request_headers();
+        let text = |name: &'static str| headers.get_str(name);
+        let member = text("ebonypass-member").ok_or(Reason::UnknownMember)?.to_owned();
+        let terms = view.terms(&member, &service, &kind)?;
+        let block = text("ebonypass-block").and_then(scan_block).ok_or(Reason::UnknownBlock)?;
+        view.centre(block)?;
+        let deadline = match text("ebonypass-deadline-ms") {
+            Some(text) => self.scan_deadline(text)?,
+            None => terms.deadline,
+        };
+        let key = text("ebonypass-key").map(str::to_owned);
+        if !terms.idempotent && key.is_none() {
+            return Err(Reason::KeyMissing);
+        }
+        let content_type = headers.get_str(KnownHeaderName::ContentType).map(str::to_owned);
+        let limit = self.0.settings.limits.body_bytes;
+        let length = headers.get_str(KnownHeaderName::ContentLength);
+        if length.is_some_and(|text| text.parse().map_or(true, |length: usize| length > limit)) {
+            return Err(Reason::BodyTooLarge);
+        }
+        let body = conn.request_body().with_max_len(limit as u64).read_bytes().await;
+        let body = body.map_err(|_| Reason::BodyTooLarge)?;
+        let idempotent = terms.idempotent;
+        let request = Arc::new(Request { service, kind, idempotent, body, content_type });
+        let region = view.region_of(&self.0.settings.data_centre);
+        let pool = region.map(|region| view.pool(terms.service, region));
+        Ok(Call { terms, member, request, pool, deadline: clock::now() + deadline, key, trace })
+    }
+
+    fn scan_deadline(&self, text: &str) -> Result<Span, Reason> {
+        let ms: u64 = text.parse().map_err(|_| Reason::HeadMalformed)?;
+        Ok(Span::from_millis(ms.min(self.0.settings.limits.deadline_ms)))
+    }
+
+    /// Claims the key of non-idempotent work, and serves.
+    async fn claim(&self, call: Call) -> Result<Answer<Rest<T::Reader>>, Refusal> {
+        let Some(key) = call.key.as_ref().filter(|_| !call.request.idempotent) else {
+            return Ok(self.serve(call).await);
+        };
+        let grant = claim(&self.0, &call.member, key).await?;
+        let answer = self.serve(call).await;
+        settle(&self.0, grant, outcome_of(&answer));
+        Ok(answer)
+    }
+
+    /// Serves from the pool's owner entry.
+    async fn serve(&self, call: Call) -> Answer<Rest<T::Reader>> {
+        let Some(link) = self.owner(&call) else { return self.serve_here(call).await };
+        let Some(link) = link else { return Answer::Failed(Reason::NoOwner) };
+        let parcel = Parcel {
+            member: &call.member,
+            request: &call.request,
+            deadline: call.deadline,
+            trace: call.trace,
+            is_remote: false,
+        };
+        match forward(&link, parcel).await {
+            Ok(answer) => answer,
+            Err(peer::Error::Unsent) => Answer::Failed(Reason::NoOwner),
+            // The owner has gone; until its successor is known, targets shed what is too much.
+            Err(peer::Error::Lost) if call.request.idempotent && clock::now() < call.deadline => {
+                self.serve_here(call).await
+            }
+            Err(peer::Error::Lost) => Answer::Failed(Reason::PeerLost),
+        }
+    }
+
+    /// The way to the entry that owns the pool: none if it is this one, `Some(None)` if there is
+    /// no connection.
+    fn owner(&self, call: &Call) -> Option<Option<Arc<Link>>> {
+        let members = lock(&self.0.members);
+        let owner = members.roster.owner(clock::now(), call.pool?)?;
+        (owner != members.roster.own()).then(|| members.link_of(owner))
+    }
+
+    async fn serve_here(&self, call: Call) -> Answer<Rest<T::Reader>> {
+        let Call { request, deadline, .. } = call;
+        let job = Job { flow: call.terms.flow, deadline, idempotent: request.idempotent };
+        let driver = self.0.pool(&request.service);
+        match driver.offer(job, request, call.trace) {
+            Ok(waiting) => waiting.answer().await.map(Rest::Target),
+            Err(reason) => Answer::Failed(reason),
+        }
+    }
+}
+
+fn outcome_of<B>(answer: &Answer<B>) -> Outcome {
+    match answer {
+        Answer::Answered(_) => Outcome::Answered,
+        Answer::Failed(reason) => reason.outcome(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/state.rs
@@ -0,0 +1,116 @@
+//! What the parts of an entry share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use ebonypass_core::key::Journal;
+use ebonypass_core::outcome::Reason;
+use ebonypass_core::roster::{Incarnation, Process};
+use ebonypass_node::clock;
+use ebonypass_node::event::{Event, note};
+use ebonypass_node::peer::Endpoint;
+use ebonypass_node::store::{Store, Vm};
+use ebonypass_node::sync::lock;
+use ebonypass_node::target::Target;
+
+use crate::driver::Driver;
+use crate::gauge::Gauges;
+use crate::members::Members;
+use crate::names::Catalogue;
+use crate::settings::Settings;
+use crate::view::View;
+
+/// An entry's state. Requests read it, tasks change it. Where several locks are held at once, they
+/// are taken in the order of the fields.
+pub(crate) struct Entry<S, T: Target> {
+    pub(crate) settings: Settings,
+    pub(crate) process: Process,
+    pub(crate) store: S,
+    pub(crate) target: T,
+    pub(crate) gauges: Gauges,
+    pub(crate) endpoint: OnceLock<Endpoint>,
+    pub(crate) caller_address: OnceLock<SocketAddr>,
+    pub(crate) view: ArcSwapOption<View>,
+    pub(crate) vms: ArcSwap<Vec<Vm>>,
+    pub(crate) leaving: AtomicBool,
+    store_lost: AtomicBool,
+    pub(crate) members: Mutex<Members>,
+    pub(crate) names: Mutex<Catalogue>,
+    pub(crate) journal: Mutex<Journal>,
+    pools: Mutex<HashMap<String, Arc<Driver<T>>>>,
+}
+
+impl<S: Store, T: Target> Entry<S, T> {
+    /// The state of a fresh process.
+    pub(crate) fn new(settings: Settings, store: S, target: T, gauges: Gauges) -> Entry<S, T> {
+        let process = Process { name: settings.name.clone(), incarnation: new_incarnation() };
+        let members = Members::new(clock::now(), process.clone(), &settings.data_centre);
+        let journal = Journal::new(settings.limits.keys);
+        Entry {
+            settings,
+            process,
+            store,
+            target,
+            gauges,
+            endpoint: OnceLock::new(),
+            caller_address: OnceLock::new(),
+            view: ArcSwapOption::empty(),
+            vms: ArcSwap::default(),
+            leaving: AtomicBool::new(false),
+            store_lost: AtomicBool::new(false),
+            members: Mutex::new(members),
+            names: Mutex::default(),
+            journal: Mutex::new(journal),
+            pools: Mutex::default(),
+        }
+    }
+
+    /// The policy in force.
+    pub(crate) fn view(&self) -> Result<Arc<View>, Reason> {
+        self.view.load_full().ok_or(Reason::NoPolicy)
+    }
+
+    /// Whether the process is about to stop.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Counts the failures of the store, and logs when it is lost and found.
+    pub(crate) fn note_store(&self, is_ok: bool) {
+        if !is_ok {
+            self.gauges.store_failures.inc();
+        }
+        if self.store_lost.swap(!is_ok, Ordering::Relaxed) == is_ok {
+            let event = if is_ok { Event::StoreFound } else { Event::StoreLost };
+            note(event, self.settings.store);
+        }
+    }
+
+    /// The own pool of `service`, made at its first use.
+    pub(crate) fn pool(&self, service: &str) -> Arc<Driver<T>> {
+        let mut pools = lock(&self.pools);
+        if let Some(driver) = pools.get(service) {
+            return driver.clone();
+        }
+        let prefix = format!("{}.{service}", self.process);
+        let driver = Driver::new(self.target.clone(), self.gauges.clone(), prefix);
+        pools.insert(service.to_owned(), driver.clone());
+        driver
+    }
+
+    /// The own pools with their services.
+    pub(crate) fn pools(&self) -> Vec<(String, Arc<Driver<T>>)> {
+        lock(&self.pools).iter().map(|(name, driver)| (name.clone(), driver.clone())).collect()
+    }
+}
+
+/// Microseconds of Unix time: higher than that of each earlier process on a clock that is not set
+/// back.
+fn new_incarnation() -> Incarnation {
+    let age = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation(age.as_micros() as u64)
+}
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -9,6 +9,7 @@
 use ebonypass_core::scan::scan_document;
 use ebonypass_replay::goal::{check_goals, heading};
 use ebonypass_replay::model::run_strategy;
+use ebonypass_replay::plot::draw_page;
 use ebonypass_replay::report::Report;
 use ebonypass_replay::trace::{Trace, open_trace, scan_trace};
 
@@ -18,10 +19,10 @@
     /// policy document
     #[argh(option)]
     policy: Option<PathBuf>,
-    /// ebonypass, round-robin, least-loaded or independent
+    /// ebonypass (default), ebonypass-early, round-robin, least-loaded or independent
     #[argh(option, default = "\"ebonypass\".to_owned()")]
     strategy: String,
-    /// measure every stated outcome on the recorded traces in this directory and on all scenarios;
+    /// measure every stated outcome of --strategy on the recorded traces in this directory and on all scenarios;
     /// the exit code is 1 if one is not met
     #[argh(option)]
     check: Option<PathBuf>,
@@ -37,6 +38,9 @@
     /// print the report as JSON
     #[argh(switch)]
     json: bool,
+    /// write a page with the report and its plots to this file
+    #[argh(option)]
+    html: Option<PathBuf>,
     /// trace file, plain or .gz
     #[argh(positional)]
     trace: Option<PathBuf>,
@@ -45,7 +49,7 @@
 fn main() -> anyhow::Result<ExitCode> {
     let options: Options = argh::from_env();
     if let Some(directory) = &options.check {
-        return check(directory, options.seed);
+        return check(directory, &options.strategy, options.seed);
     }
     let (Some(policy), Some(trace)) = (&options.policy, &options.trace) else {
         bail!("--policy and a trace, or --check, must be given; see --help");
@@ -54,6 +58,10 @@
     let trace = read_trace(&document, trace, &options)?;
     let tally = run_strategy(&document, &trace, &options.strategy)?;
     let report = Report::new(&document, &options.strategy, &tally);
+    if let Some(path) = &options.html {
+        let page = draw_page(&document, &report, &tally)?;
+        std::fs::write(path, page).with_context(|| format!("cannot write {}", path.display()))?;
+    }
     if options.json {
         println!("{}", serde_json::to_string_pretty(&report)?);
     } else {
@@ -62,9 +70,9 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn check(directory: &Path, seed: u64) -> anyhow::Result<ExitCode> {
-    let goals = check_goals(directory, seed)?;
-    println!("{}", heading());
+fn check(directory: &Path, strategy: &str, seed: u64) -> anyhow::Result<ExitCode> {
+    let goals = check_goals(directory, strategy, seed)?;
+    println!("{}", heading(strategy));
     for goal in &goals {
         println!("{goal}");
     }
