Split suspects from the choice of a target; tell the expected wait

Change: module suspect, Pool::expected_wait. No decision changes. A slot of a target in the other data centre stays empty for 3 ms a request of 30 ms, since no more may be in flight than slots.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -48,7 +48,7 @@
     }
 
     /// The expected wait of a job that joins `lane` now.
-    fn predict_wait(&mut self, now: Instant, lane: LaneId, cost: CostId) -> Span {
+    pub(crate) fn predict_wait(&mut self, now: Instant, lane: LaneId, cost: CostId) -> Span {
         if self.queue.len() == 0 && self.places.has_free_slot() {
             return Span::ZERO;
         }
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -4,9 +4,9 @@
 //! ones have been unanswered against the kind's learned slot time, and how long the recent ones
 //! took. A load report only breaks ties.
 
-use crate::cost::Cost;
 use crate::id::{Arena, TargetId, key};
 use crate::pool::{Load, Spec, State};
+use crate::suspect::{PROBE_PATIENCE, Suspicion};
 use crate::time::{Instant, Span};
 
 key! {
@@ -14,27 +14,6 @@
     PlaceId(u32)
 }
 
-/// Evidence points of an unanswered attempt that passes the 90th and the 99th percentile of its
-/// kind, twice and three times the latter: about -ln of the chance that a healthy one does.
-pub(crate) const STAGE_POINTS: [u32; 4] = [2, 3, 5, 5];
-/// Points that an answer within the 90th percentile takes away.
-const RELIEF_POINTS: u32 = 2;
-/// Points that make a target a suspect. For a healthy target the sum is a random walk that falls
-/// on average and reaches 14 about once in 30,000 answers (estimated, not measured).
-const SUSPECT_POINTS: u32 = 14;
-/// Average of slot time over the kind's mean, in 1/256, that makes a target a suspect.
-const SUSPECT_RATIO: u32 = 256 * 5 / 2;
-/// Ratios above this are clamped, so that one answer does not rule the average.
-const MAX_RATIO: u32 = 256 * 4;
-/// Answers before the average says anything.
-const RATIO_SAMPLES: u32 = 8;
-/// Probes in a row that re-admit a suspect.
-const GOOD_PROBES: u32 = 2;
-/// Bounds of the time between two probes, which doubles after each bad one.
-const FIRST_PROBE: Span = Span::from_millis(20);
-const LAST_PROBE: Span = Span::from_millis(320);
-/// A suspect that is due for a probe for this long is re-admitted without one.
-const PROBE_PATIENCE: Span = Span::from_secs(1);
 /// Bounds of the time for which a target that sheds is left alone.
 const FIRST_REST: Span = Span::from_millis(2);
 const LAST_REST: Span = Span::from_millis(128);
@@ -49,31 +28,22 @@
 /// The pool's own answers confirm free slots for this long.
 const CONFIRMED_FOR: Span = Span::from_secs(10);
 
-/// Why a target is a suspect, and what probes have shown.
-#[derive(Debug, Clone, Copy)]
-struct Suspicion {
-    probe_at: Instant,
-    interval: Span,
-    good_probes: u32,
-    is_probing: bool,
-}
-
 /// A target of the pool.
 #[derive(Debug)]
 pub(crate) struct Place {
     target: TargetId,
-    spec: Spec,
-    in_flight: u32,
+    pub(crate) spec: Spec,
+    pub(crate) in_flight: u32,
     long_in_flight: u32,
-    points: u32,
-    ratio: u32,
-    answers: u32,
-    last_answer: Option<Instant>,
-    last_choice: u64,
-    suspicion: Option<Suspicion>,
-    rest: Span,
+    pub(crate) points: u32,
+    pub(crate) ratio: u32,
+    pub(crate) answers: u32,
+    pub(crate) last_answer: Option<Instant>,
+    pub(crate) last_choice: u64,
+    pub(crate) suspicion: Option<Suspicion>,
+    pub(crate) rest: Span,
     rest_until: Instant,
-    sheds: u32,
+    pub(crate) sheds: u32,
     closed_until: Option<Instant>,
     load: Option<(Instant, Load)>,
 }
@@ -99,7 +69,7 @@
         }
     }
 
-    fn is_ready(&self) -> bool {
+    pub(crate) fn is_ready(&self) -> bool {
         self.spec.state == State::Ready && self.closed_until.is_none()
     }
 
@@ -116,7 +86,7 @@
         self.spec.slots.saturating_sub(self.in_flight)
     }
 
-    fn has_slot(&self, is_long: bool) -> bool {
+    pub(crate) fn has_slot(&self, is_long: bool) -> bool {
         // A long kind never holds all slots of one target.
         let long_limit = self.spec.slots.saturating_sub(1).max(1);
         self.in_flight < self.spec.slots && (!is_long || self.long_in_flight < long_limit)
@@ -136,13 +106,13 @@
 /// The targets of one pool.
 #[derive(Debug, Default)]
 pub(crate) struct Places {
-    places: Arena<PlaceId, Place>,
+    pub(crate) places: Arena<PlaceId, Place>,
     choices: u64,
-    ready_slots: u32,
-    usable_slots: u32,
+    pub(crate) ready_slots: u32,
+    pub(crate) usable_slots: u32,
     free_slots: u32,
     long_in_flight: u32,
-    suspects: u32,
+    pub(crate) suspects: u32,
     closed: u32,
 }
 
@@ -268,18 +238,6 @@
         silent * 2 < all
     }
 
-    /// A suspect that is due for a probe.
-    pub(crate) fn choose_probe(&self, now: Instant) -> Option<PlaceId> {
-        if self.suspects == 0 {
-            return None;
-        }
-        let due = self.places.iter().filter(|(_, place)| {
-            let is_due = |s: Suspicion| !s.is_probing && now >= s.probe_at;
-            place.is_ready() && place.has_slot(false) && place.suspicion.is_some_and(is_due)
-        });
-        due.min_by_key(|(_, place)| (place.in_flight, place.last_choice)).map(|(id, _)| id)
-    }
-
     /// Counts a new attempt.
     pub(crate) fn start(&mut self, id: PlaceId, is_long: bool, is_probe: bool) {
         self.choices += 1;
@@ -307,36 +265,6 @@
         }
     }
 
-    /// Takes in that an unanswered attempt has passed checkpoint `stage`. Returns whether the
-    /// target has become a suspect.
-    pub(crate) fn strike(&mut self, now: Instant, id: PlaceId, stage: u8) -> bool {
-        let place = &mut self.places[id];
-        place.points += STAGE_POINTS[usize::from(stage)];
-        let is_over = place.points >= SUSPECT_POINTS;
-        is_over && self.suspect_slow(now, id)
-    }
-
-    /// Takes in an answer that took `time` for a kind that costs `cost`. Returns whether the
-    /// target has become a suspect.
-    pub(crate) fn answer(&mut self, now: Instant, id: PlaceId, time: Span, cost: &Cost) -> bool {
-        let place = &mut self.places[id];
-        place.last_answer = Some(now);
-        place.rest = Span::ZERO;
-        place.sheds = 0;
-        if time <= cost.p90() {
-            place.points = place.points.saturating_sub(RELIEF_POINTS);
-        }
-        if !cost.is_settled() {
-            return false;
-        }
-        let ratio = time.as_micros().saturating_mul(256) / cost.mean().as_micros().max(1);
-        let ratio = ratio.min(MAX_RATIO.into()) as u32;
-        place.ratio = (place.ratio * 7 + ratio) / 8;
-        place.answers = place.answers.saturating_add(1);
-        let is_over = place.ratio > SUSPECT_RATIO && place.answers >= RATIO_SAMPLES;
-        is_over && self.suspect_slow(now, id)
-    }
-
     /// Takes in that the target refused an attempt before running it.
     pub(crate) fn shed(&mut self, now: Instant, id: PlaceId) {
         let place = &mut self.places[id];
@@ -349,51 +277,6 @@
         }
     }
 
-    /// Makes a target a suspect after an error.
-    pub(crate) fn suspect_failed(&mut self, now: Instant, id: PlaceId) -> bool {
-        self.suspect(now, id)
-    }
-
-    /// Makes a slow target a suspect, unless less than half of the slots would remain: then the
-    /// learned slot times are more likely to be wrong than the targets.
-    fn suspect_slow(&mut self, now: Instant, id: PlaceId) -> bool {
-        let remaining = self.usable_slots.saturating_sub(self.places[id].spec.slots);
-        remaining > 0 && remaining * 2 >= self.ready_slots && self.suspect(now, id)
-    }
-
-    fn suspect(&mut self, now: Instant, id: PlaceId) -> bool {
-        let place = &mut self.places[id];
-        if place.suspicion.is_some() || !place.is_ready() {
-            return false;
-        }
-        place.suspicion = Some(Suspicion {
-            probe_at: now + FIRST_PROBE,
-            interval: FIRST_PROBE,
-            good_probes: 0,
-            is_probing: false,
-        });
-        self.recount();
-        true
-    }
-
-    /// Takes in how a probe ended.
-    pub(crate) fn end_probe(&mut self, now: Instant, id: PlaceId, is_good: bool) {
-        let place = &mut self.places[id];
-        let Some(suspicion) = &mut place.suspicion else { return };
-        suspicion.is_probing = false;
-        if !is_good {
-            suspicion.good_probes = 0;
-            suspicion.interval = suspicion.interval.times(2).min(LAST_PROBE);
-            suspicion.probe_at = now + suspicion.interval;
-            return;
-        }
-        suspicion.good_probes += 1;
-        suspicion.probe_at = now;
-        if suspicion.good_probes >= GOOD_PROBES {
-            self.clear(id);
-        }
-    }
-
     /// Reopens targets that were taken to be leaving, when nothing new was heard of them for long.
     pub(crate) fn reopen(&mut self, now: Instant) {
         if self.closed == 0 {
@@ -405,31 +288,6 @@
         self.recount();
     }
 
-    /// Re-admits idle suspects that have been due for a probe for long: the pool has no job that
-    /// could probe them. The next slow or failed attempt makes such a target a suspect again.
-    pub(crate) fn readmit_idle(&mut self, now: Instant) {
-        if self.suspects == 0 {
-            return;
-        }
-        for index in 0..self.places.len() {
-            let id = PlaceId(index as u32);
-            let place = &self.places[id];
-            let is_due = |s: Suspicion| !s.is_probing && now >= s.probe_at + PROBE_PATIENCE;
-            if place.in_flight == 0 && place.suspicion.is_some_and(is_due) {
-                self.clear(id);
-            }
-        }
-    }
-
-    fn clear(&mut self, id: PlaceId) {
-        let place = &mut self.places[id];
-        place.suspicion = None;
-        place.points = 0;
-        place.ratio = 256;
-        place.answers = 0;
-        self.recount();
-    }
-
     /// The next time after `now` at which a waiting job may find a place that it has not now.
     pub(crate) fn wake_at(&self, now: Instant) -> Option<Instant> {
         let times = self.places.values().filter(|place| place.is_ready()).flat_map(|place| {
@@ -457,7 +315,7 @@
         confirmed.sum()
     }
 
-    fn recount(&mut self) {
+    pub(crate) fn recount(&mut self) {
         let ready = self.places.values().filter(|place| place.is_ready());
         self.ready_slots = ready.clone().map(|place| place.spec.slots).sum();
         self.suspects = ready.filter(|place| place.suspicion.is_some()).count() as u32;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -283,6 +283,16 @@
         self.places.confirmed_slots(now).saturating_sub(self.queue.len() as u32)
     }
 
+    /// How long a job of `flow` offered now is expected to wait for a slot; zero for a flow that the
+    /// pool has not seen. A driver that may send work elsewhere can compare it with the way there.
+    pub fn expected_wait(&mut self, now: Instant, flow: Flow) -> Span {
+        self.now = now;
+        match self.queue.find(flow) {
+            Some(lane) => self.predict_wait(now, lane, self.queue[lane].cost()),
+            None => Span::ZERO,
+        }
+    }
+
     /// The number of jobs that wait for a slot.
     pub fn queued(&self) -> usize {
         self.queue.len()
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -92,6 +92,11 @@
         id
     }
 
+    /// The lane of a flow that was seen before.
+    pub(crate) fn find(&self, flow: Flow) -> Option<LaneId> {
+        self.by_flow.get(&flow).copied()
+    }
+
     /// The number of waiting jobs.
     pub(crate) fn len(&self) -> usize {
         self.len
--- a/crates/core/src/settle.rs
+++ b/crates/core/src/settle.rs
@@ -1,10 +1,11 @@
 //! Reports, checkpoints and deadlines: how a job goes on and how it is closed.
 
-use crate::choice::{PlaceId, STAGE_POINTS, place_bit};
+use crate::choice::{PlaceId, place_bit};
 use crate::cost::Cost;
 use crate::job::{Flight, JobId, Phase};
 use crate::outcome::Reason;
 use crate::pool::{Action, Attempt, Pool, Report, Ticket, Verdict};
+use crate::suspect::STAGE_POINTS;
 use crate::time::{Instant, Span};
 
 /// The checkpoint at which an attempt is hedged, and that of a probe.
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -53,3 +53,18 @@
     let refused = driver.done.iter().filter(|done| done.outcome == Outcome::NotRun).count();
     assert!(refused * 1000 <= driver.done.len(), "{refused} of {} refused", driver.done.len());
 }
+
+/// Guards against a forecast that a driver cannot compare with the way to another region.
+#[test]
+fn expected_wait() {
+    let mut driver = overload(4, 3, 0.3, 1, 400_000);
+    driver.run_until(at((SECONDS + 1) * 1_000_000));
+    let now = driver.now;
+    assert_eq!(driver.pool.expected_wait(now, flow(0, 0)).as_micros(), 0);
+    for _ in 0..60 {
+        driver.offer(flow(0, 0), 400_000, true, MEAN_US as u64).unwrap();
+    }
+    // 48 jobs wait for 12 slots of 4 ms.
+    let wait_us = driver.pool.expected_wait(now, flow(0, 0)).as_micros();
+    assert!((12_000..=20_000).contains(&wait_us), "{wait_us} us");
+}
