Ask for the subject of a drain and serve metrics with their media type

Cause: a drain without a chosen subject was taken for a data centre; /metrics came without the OpenMetrics media type. Ruled out: a preselected subject, which hides that nothing was chosen. Change: a fault at the field; /metrics uses the node library's handler.

--- a/crates/console/src/server.rs
+++ b/crates/console/src/server.rs
@@ -11,7 +11,7 @@
 use ebonypass_node::store::Http;
 use ebonypass_node::trace::{Context, Span};
 use prometheus_client::registry::Registry;
-use trillium::{Conn, Method};
+use trillium::{Conn, Handler, Method};
 use trillium_server_common::ServerHandle;
 
 use crate::form::{self, Fields, field};
@@ -107,7 +107,7 @@
         let path = conn.path().to_owned();
         match (conn.method(), path.as_str()) {
             (Method::Get, "/health") => conn.ok("ok\n"),
-            (Method::Get, "/metrics") => conn.ok(self.metrics.text()),
+            (Method::Get, "/metrics") => self.metrics.run(conn).await,
             (Method::Get, "/style.css") => {
                 conn.with_response_header("content-type", "text/css").ok(STYLE)
             }
--- a/crates/console/src/text.rs
+++ b/crates/console/src/text.rs
@@ -118,11 +118,23 @@
         }
     }
 
+    fn no_choice(&mut self, section: usize, row: usize, column: usize, keys: &[&str]) {
+        let place = Some(Place { section, row, column: Some(column) });
+        let message = format!("EP-1011: choose one of {}", keys.join(", "));
+        self.faults.push(Fault { place, message });
+    }
+
     fn fields(&mut self, section: usize, row: usize, fields: &Row) {
         let columns = SECTIONS[section].columns;
         for (index, (column, text)) in columns.iter().zip(fields).enumerate() {
             let key = match index.checked_sub(1).map(|before| columns[before].input) {
-                Some(Input::Choice(keys)) => choose(keys, &fields[index - 1]),
+                Some(Input::Choice(keys)) => match choose(keys, &fields[index - 1]) {
+                    Some(key) => key,
+                    None => {
+                        self.no_choice(section, row, index - 1, keys);
+                        continue;
+                    }
+                },
                 _ => column.name,
             };
             if let Some(value) = value_of(column, text) {
@@ -134,8 +146,8 @@
 }
 
 /// The key that `text` chooses.
-fn choose(keys: &'static [&'static str], text: &str) -> &'static str {
-    keys.iter().find(|&&key| key == text).unwrap_or(&keys[0])
+fn choose(keys: &'static [&'static str], text: &str) -> Option<&'static str> {
+    keys.iter().copied().find(|&key| key == text)
 }
 
 /// The field's text as TOML on one line. Text of another form than the column's becomes a string,
--- a/crates/console/tests/access.rs
+++ b/crates/console/tests/access.rs
@@ -73,6 +73,8 @@
         let site = Site::start(Some(POLICY)).await;
         let page = site.browser().get(path).await;
         assert_eq!(page.status, 200);
+        let media_type = page.media_type.as_deref().unwrap_or_default();
+        assert_eq!(media_type.starts_with("application/openmetrics-text"), path == "/metrics");
         assert!(page.body.contains(part) && !page.body.contains("windelrunde"), "{}", page.body);
         site.close().await;
     });
--- a/crates/console/tests/common/mod.rs
+++ b/crates/console/tests/common/mod.rs
@@ -126,6 +126,7 @@
     pub location: Option<String>,
     pub cookies: Vec<String>,
     pub policy: Option<String>,
+    pub media_type: Option<String>,
     pub body: String,
 }
 
@@ -160,6 +161,7 @@
         let header = |name: &'static str| conn.response_headers().get_str(name).map(str::to_owned);
         let set: Vec<String> = header("set-cookie").into_iter().collect();
         let (location, policy) = (header("location"), header("content-security-policy"));
+        let media_type = header("content-type");
         let status = conn.status().map_or(0, |status| status as u16);
         let body = conn.response_body().read_string().await.expect("a body");
         for cookie in &set {
@@ -169,7 +171,7 @@
             kept.retain(|(other, _)| other != name);
             kept.push((name.to_owned(), value.to_owned()));
         }
-        Page { status, location, cookies: set, policy, body }
+        Page { status, location, cookies: set, policy, media_type, body }
     }
 }
 
--- a/crates/console/tests/forms.rs
+++ b/crates/console/tests/forms.rs
@@ -92,6 +92,8 @@
 #[test_case("service", "r0c4", "zurich-1 = 1, zurich-1 = 2", "EP-1005"; "centre twice")]
 #[test_case("service.kind", "r0c0", "rounds", "EP-1009"; "unknown service")]
 #[test_case("service.kind", "r0c2", "", "EP-1005"; "no choice")]
+#[test_case("drain", "r0c0", "", "EP-1011"; "no subject")]
+#[test_case("drain", "r0c0", "region", "EP-1011"; "wrong subject")]
 #[test_case("drain", "r0c2", "tomorrow", "EP-1005"; "no time")]
 #[test_case("block", "r0c0", "10.1.0.1/16", "EP-1015"; "host bits")]
 #[test_case("member", "r0c0", "a\" b = \"c", "EP-1007"; "quotes")]
