Send work to other regions against credit, at the pace of the seats

Cause: links are capped, regions must not be overloaded, and shifts move in steps that one entry decides. Ruled out: counting slots by the policy when a step is covered (targets that are not listed counted as busy, and no step was ever made); charging bodies without headers (66 of each 1,200 bytes on the wire are headers of UDP and QUIC, so a sixteenth is added). Change: border (seats, loans, pacers, turns chunk by chunk), afar (credit, place of a request, plan), steward (lease and steps). Known limit: a holder asks only the holders that it has read from the store for promises, so seats lapse when the store goes down within 3 s of a change of holders.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -13,10 +13,12 @@
 use ebonypass_node::stream::{Exchange, Incoming};
 use ebonypass_node::target::{Body, Head, Reply, Request, Target, WHOLE_REPLY};
 use ebonypass_node::trace::{Context as Trace, Span as TraceSpan};
-use ebonypass_node::wire::{Forward, Frame, Outcome};
+use ebonypass_node::wire::{Forward, Frame, Hello, Outcome, encode};
 use ebonypass_node::{clock, peer};
 use futures_lite::{AsyncRead, AsyncReadExt, future};
 
+use crate::afar::Visit;
+use crate::border::{Border, CHUNK};
 use crate::driver::Answer;
 use crate::run::InFlight;
 use crate::state::Entry;
@@ -24,9 +26,6 @@
 /// How long after the deadline the other entry is waited for. It answers at the deadline.
 const PATIENCE: Span = Span::from_millis(500);
 
-/// Bytes of a streamed body that are passed on at once.
-const CHUNK: usize = 16 * 1024;
-
 /// The rest of a long reply, from a target or from another entry.
 pub(crate) enum Rest<R> {
     /// From a target.
@@ -54,7 +53,33 @@
     pub(crate) request: &'a Request,
     pub(crate) deadline: Instant,
     pub(crate) trace: Trace,
-    pub(crate) is_remote: bool,
+    /// The links and the region to which it goes, if that is another one.
+    pub(crate) way: Option<(&'a Border, &'a str)>,
+}
+
+/// Sends the bytes of `body`, at the pace of the link if they leave the region.
+async fn send_body(
+    exchange: &mut Exchange,
+    way: Option<(&Border, &str)>,
+    mut body: &[u8],
+) -> Result<(), peer::Error> {
+    let Some((border, region)) = way else { return exchange.write(body).await };
+    while !body.is_empty() {
+        let granted = border.pass(region, body.len().min(CHUNK)).await;
+        let (now, rest) = body.split_at(granted);
+        exchange.write(now).await?;
+        body = rest;
+    }
+    Ok(())
+}
+
+/// Waits until a head of `frame` may leave the region.
+async fn pace_head(way: Option<(&Border, &str)>, frame: &Frame) {
+    let Some((border, region)) = way else { return };
+    let mut rest = encode(frame).map_or(0, |bytes| bytes.len());
+    while rest > 0 {
+        rest -= border.pass(region, rest).await;
+    }
 }
 
 /// Sends a request to another entry and gives its answer. An error says whether a byte was sent.
@@ -63,13 +88,7 @@
     parcel: Parcel<'_>,
 ) -> Result<Answer<Rest<R>>, peer::Error> {
     let span = TraceSpan::new(parcel.trace, "forward");
-    let until = parcel.deadline + PATIENCE;
-    let exchange = exchange(link, &parcel, span.context());
-    let timer = async {
-        clock::sleep_until(until).await;
-        Err(peer::Error::Lost)
-    };
-    let result = future::or(exchange, timer).await;
+    let result = attempt(link, &parcel, span.context()).await;
     span.close(match &result {
         Ok(_) => "answered",
         Err(peer::Error::Unsent) => "unsent",
@@ -78,13 +97,32 @@
     result
 }
 
-async fn exchange<R>(
+async fn attempt<R>(
     link: &Link,
     parcel: &Parcel<'_>,
     trace: Trace,
 ) -> Result<Answer<Rest<R>>, peer::Error> {
+    let head = Frame::Forward(forward_head(parcel, trace));
+    let paced = async {
+        pace_head(parcel.way, &head).await;
+        Ok(())
+    };
+    // Nothing has been sent while the head waits for the link.
+    let timer = async {
+        clock::sleep_until(parcel.deadline).await;
+        Err(peer::Error::Unsent)
+    };
+    future::or(paced, timer).await?;
+    let timer = async {
+        clock::sleep_until(parcel.deadline + PATIENCE).await;
+        Err(peer::Error::Lost)
+    };
+    future::or(exchange(link, parcel, &head), timer).await
+}
+
+fn forward_head(parcel: &Parcel<'_>, trace: Trace) -> Forward {
     let request = parcel.request;
-    let head = Forward {
+    Forward {
         member: parcel.member.to_owned(),
         service: request.service.clone(),
         kind: request.kind.clone(),
@@ -92,10 +130,17 @@
         trace: trace.to_string(),
         content_type: request.content_type.clone(),
         length: request.body.len() as u32,
-        is_remote: parcel.is_remote,
-    };
-    let mut exchange = link.open(&Frame::Forward(head)).await?;
-    exchange.write(&request.body).await?;
+        is_remote: parcel.way.is_some(),
+    }
+}
+
+async fn exchange<R>(
+    link: &Link,
+    parcel: &Parcel<'_>,
+    head: &Frame,
+) -> Result<Answer<Rest<R>>, peer::Error> {
+    let mut exchange = link.open(head).await?;
+    send_body(&mut exchange, parcel.way, &parcel.request.body).await?;
     exchange.finish()?;
     let (head, length) = match exchange.read().await? {
         Frame::Outcome(Outcome::Failed(reason)) => return Ok(Answer::Failed(reason)),
@@ -119,10 +164,15 @@
 /// Serves a request that another entry has forwarded. It is not forwarded again.
 pub(crate) async fn serve_forward<S: Store, T: Target>(
     entry: &Arc<Entry<S, T>>,
+    from: &Hello,
     head: Forward,
     mut exchange: Exchange,
 ) {
     let _in_flight = InFlight::new(&entry.gauges);
+    let _visit =
+        head.is_remote.then(|| Visit::new(&**entry, &from.process, &head.service)).flatten();
+    let region = other_region(entry, from);
+    let way = region.as_deref().map(|region| (&entry.border, region));
     entry.gauges.forwarded.inc();
     let answer = match offer(entry, head, &mut exchange).await {
         Ok(Some(answer)) => answer,
@@ -131,11 +181,19 @@
         Err(reason) => Answer::Failed(reason),
     };
     // A failure means that the other side has gone or the body was cut; the dropped stream is reset.
-    if send_answer(&mut exchange, answer).await.is_err() {
+    if send_answer(&mut exchange, way, answer).await.is_err() {
         exchange.reset();
     }
 }
 
+/// The name of the region of `from`, if it is not the own one.
+fn other_region<S: Store, T: Target>(entry: &Entry<S, T>, from: &Hello) -> Option<String> {
+    let view = entry.view().ok()?;
+    let own = view.region_of(&entry.settings.data_centre)?;
+    let other = view.region_of(&from.data_centre).filter(|region| *region != own)?;
+    Some(view.document.regions[other].name.clone())
+}
+
 async fn offer<S: Store, T: Target>(
     entry: &Arc<Entry<S, T>>,
     head: Forward,
@@ -169,11 +227,14 @@
 
 async fn send_answer<R: AsyncRead + Unpin>(
     exchange: &mut Exchange,
+    way: Option<(&Border, &str)>,
     answer: Answer<R>,
 ) -> Result<(), peer::Error> {
     let reply = match answer {
         Answer::Failed(reason) => {
-            exchange.send(&Frame::Outcome(Outcome::Failed(reason))).await?;
+            let head = Frame::Outcome(Outcome::Failed(reason));
+            pace_head(way, &head).await;
+            exchange.send(&head).await?;
             return exchange.finish();
         }
         Answer::Answered(reply) => reply,
@@ -183,10 +244,11 @@
         Body::Stream { length, .. } => *length,
     };
     let Head { status, headers } = reply.head;
-    let head = Outcome::Answered { status, headers, length };
-    exchange.send(&Frame::Outcome(head)).await?;
+    let head = Frame::Outcome(Outcome::Answered { status, headers, length });
+    pace_head(way, &head).await;
+    exchange.send(&head).await?;
     match reply.body {
-        Body::Whole(bytes) => exchange.write(&bytes).await?,
+        Body::Whole(bytes) => send_body(exchange, way, &bytes).await?,
         Body::Stream { mut reader, .. } => {
             let mut chunk = vec![0; CHUNK];
             loop {
@@ -194,7 +256,7 @@
                 if len == 0 {
                     break;
                 }
-                exchange.write(&chunk[..len]).await?;
+                send_body(exchange, way, &chunk[..len]).await?;
             }
         }
     }
--- a/crates/entry/src/gauge.rs
+++ b/crates/entry/src/gauge.rs
@@ -58,6 +58,10 @@
     pub(crate) forwarded: Counter,
     pub(crate) claims: Gauge,
     pub(crate) peers: Gauge,
+    pub(crate) seats: Gauge,
+    pub(crate) link_rate: Gauge,
+    pub(crate) sent_afar: Counter,
+    pub(crate) steward: Gauge,
     pub(crate) limited: Family<LimitLabels, Counter>,
 }
 
@@ -80,6 +84,10 @@
             forwarded: Counter::default(),
             claims: Gauge::default(),
             peers: Gauge::default(),
+            seats: Gauge::default(),
+            link_rate: Gauge::default(),
+            sent_afar: Counter::default(),
+            steward: Gauge::default(),
             limited: Family::default(),
         };
         let g = &gauges;
@@ -98,6 +106,10 @@
         r.register("in_flight", "Requests of callers and peers in flight", g.in_flight.clone());
         r.register("forwarded", "Requests that peers forwarded here", g.forwarded.clone());
         r.register("claims", "Request keys held", g.claims.clone());
+        r.register("seats", "Seats in force", g.seats.clone());
+        r.register("link_rate_bytes", "Bytes a second on all links", g.link_rate.clone());
+        r.register("sent_afar", "Requests sent to other regions", g.sent_afar.clone());
+        r.register("steward", "1 while the steward lease is held", g.steward.clone());
         r.register("peers", "Peers that are live", g.peers.clone());
         r.register("limited", "Connections and requests ended by a limit", g.limited.clone());
         gauges
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,5 +1,7 @@
 //! The entry process: look-ups, queueing and forwarding.
 
+mod afar;
+mod border;
 mod claim;
 mod driver;
 mod forward;
@@ -11,9 +13,11 @@
 mod policy;
 mod reply;
 mod run;
+mod seats;
 mod server;
 pub mod settings;
 mod state;
+mod steward;
 mod tasks;
 mod view;
 
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -4,9 +4,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use ebonypass_core::id::EntryId;
-use ebonypass_core::roster::{Listed, PoolKey, PoolStatus, Process, Roster, Status};
-use ebonypass_core::time::Instant;
+use ebonypass_core::evidence::Evidence;
+use ebonypass_core::id::{EntryId, SourceId};
+use ebonypass_core::roster::{
+    HEARTBEAT_TIMEOUT, Listed, PoolKey, PoolStatus, Process, Roster, Status,
+};
+use ebonypass_core::time::{Instant, Span};
 use ebonypass_core::version::Follower;
 use ebonypass_node::peer::{Endpoint, Link};
 use ebonypass_node::store::{Life, Role, Vm};
@@ -14,6 +17,9 @@
 
 use crate::view::{Parsed, View};
 
+/// Time between two heartbeats.
+pub(crate) const STATUS_INTERVAL: Span = Span::from_millis(500);
+
 /// The other entries as this one knows them.
 pub(crate) struct Members {
     pub(crate) roster: Roster,
@@ -23,6 +29,12 @@
     links: HashMap<String, Way>,
     seeds: Vec<Arc<Link>>,
     sequence: u64,
+    /// Data centres of the entries, by name.
+    centres: HashMap<String, String>,
+    /// The last heartbeat of each pool's owner, by service and region.
+    pools: HashMap<(String, String), (Instant, PoolStatus)>,
+    evidence: Evidence,
+    sources: HashMap<EntryId, SourceId>,
 }
 
 /// A link and the address for which it was made.
@@ -34,6 +46,7 @@
 impl Members {
     /// A process that knows only itself.
     pub(crate) fn new(now: Instant, own: Process, data_centre: &str) -> Members {
+        let own_name = own.name.clone();
         Members {
             roster: Roster::new(&own.name, data_centre),
             follower: Follower::new(now, []),
@@ -42,6 +55,10 @@
             links: HashMap::new(),
             seeds: Vec::new(),
             sequence: 0,
+            centres: HashMap::from([(own_name, data_centre.to_owned())]),
+            pools: HashMap::new(),
+            evidence: Evidence::new(STATUS_INTERVAL),
+            sources: HashMap::new(),
         }
     }
 
@@ -68,6 +85,7 @@
             self.resolve(view);
         }
         for vm in entries() {
+            self.centres.insert(vm.name.clone(), vm.data_centre.clone());
             if let Some(peer) = vm.peer {
                 self.add_link(endpoint, &vm.name, peer);
             }
@@ -104,9 +122,77 @@
         }
         if let ebonypass_core::roster::Verdict::Fresh(entry) = verdict {
             self.follower.note_status(now, entry, status.version);
+            self.centres.insert(status.process.name.clone(), status.data_centre.clone());
+            let evidence = &mut self.evidence;
+            let source = *self.sources.entry(entry).or_insert_with(|| evidence.add(now));
+            if status.leaving {
+                self.evidence.close(source);
+            } else {
+                self.evidence.note_report(now, source);
+            }
+            self.note_pools(now, &status.pools);
+        }
+    }
+
+    /// Takes in what the owners of pools say of them.
+    pub(crate) fn note_pools(&mut self, now: Instant, pools: &[PoolStatus]) {
+        for pool in pools {
+            let key = (pool.service.clone(), pool.region.clone());
+            self.pools.insert(key, (now, pool.clone()));
         }
     }
 
+    /// What the owner of a pool last said, unless it has fallen silent.
+    pub(crate) fn pool_status(
+        &self,
+        now: Instant,
+        service: &str,
+        region: &str,
+    ) -> Option<&PoolStatus> {
+        let key = (service.to_owned(), region.to_owned());
+        let (at, status) = self.pools.get(&key)?;
+        (now.since(*at) < HEARTBEAT_TIMEOUT).then_some(status)
+    }
+
+    /// Whether most heartbeats stopped at the same time.
+    pub(crate) fn is_frozen(&mut self, now: Instant) -> bool {
+        self.evidence.is_frozen(now)
+    }
+
+    /// The number of entries of `region` that take work.
+    pub(crate) fn near(&self, now: Instant, view: Option<&View>, region: &str) -> usize {
+        self.ready_in(now, view, region).count()
+    }
+
+    /// Another entry of `region`, a different one each second.
+    pub(crate) fn neighbour(
+        &self,
+        now: Instant,
+        view: Option<&View>,
+        region: &str,
+    ) -> Option<String> {
+        let others = self.ready_in(now, view, region).filter(|name| *name != self.own.name);
+        let mut others: Vec<&str> = others.collect();
+        others.sort_unstable();
+        let second = (now.as_micros() / 1_000_000) as usize;
+        let index = second.checked_rem(others.len())?;
+        Some(others[index].to_owned())
+    }
+
+    fn ready_in<'a>(
+        &'a self,
+        now: Instant,
+        view: Option<&'a View>,
+        region: &'a str,
+    ) -> impl Iterator<Item = &'a str> {
+        let names = self.roster.ready(now).map(|entry| self.roster.name(entry));
+        names.filter(move |name| {
+            let (Some(view), Some(centre)) = (view, self.centres.get(*name)) else { return false };
+            let id = view.region_of(centre);
+            id.is_some_and(|id| view.document.regions[id].name == region)
+        })
+    }
+
     /// Sends a heartbeat to every peer.
     pub(crate) fn send_status(&mut self, leaving: bool, pools: Vec<PoolStatus>, epoch: u64) {
         self.sequence += 1;
@@ -130,10 +216,15 @@
         self.roster.owner(now, pool) == Some(self.roster.own())
     }
 
+    /// Whether this process watches the store for its data centre.
+    pub(crate) fn is_watcher(&self, now: Instant) -> bool {
+        self.roster.watchers(now, &self.data_centre).contains(&Some(self.roster.own()))
+    }
+
     /// States whether this process watches the store for its data centre.
     pub(crate) fn choose_watcher(&mut self, now: Instant) {
-        let watchers = self.roster.watchers(now, &self.data_centre);
-        self.follower.set_watcher(watchers.contains(&Some(self.roster.own())));
+        let is_watcher = self.is_watcher(now);
+        self.follower.set_watcher(is_watcher);
     }
 
     /// The way to the entry called `name`.
--- a/crates/entry/src/mesh.rs
+++ b/crates/entry/src/mesh.rs
@@ -13,9 +13,11 @@
 use ebonypass_node::target::Target;
 use ebonypass_node::wire::{Frame, Hello};
 
+use crate::afar::{grant, note_credit};
 use crate::claim::answer_claim;
 use crate::forward::serve_forward;
 use crate::policy::advance;
+use crate::seats;
 use crate::state::Entry;
 
 /// The peers' view of an entry.
@@ -36,6 +38,21 @@
                 lock(&self.0.members).note_status(now, &status, view.as_deref());
                 advance(&self.0);
             }
+            Frame::Seat(message) => {
+                let answer = self.0.border.note_message(now, &from.process, &message);
+                self.send(from, answer.map(Frame::Seat));
+                seats::advance(&self.0);
+            }
+            Frame::Borrow(borrow) => {
+                let loan = self.0.border.note_borrow(now, &from.process, &borrow);
+                self.send(from, loan.map(Frame::Loan));
+            }
+            Frame::Loan(loan) => self.0.border.note_loan(now, &from.process.name, &loan),
+            Frame::Need(need) => {
+                let credit = grant(&self.0, &from.process, &need);
+                self.send(from, credit.map(Frame::Credit));
+            }
+            Frame::Credit(credit) => note_credit(&self.0, &credit),
             _ => note(Event::FrameRefused, format_args!("{}: not expected", from.process)),
         }
     }
@@ -49,13 +66,20 @@
                 let _ = exchange.send(&Frame::ClaimReply(answer)).await;
                 let _ = exchange.finish();
             }
-            Frame::Forward(head) => serve_forward(&self.0, head, exchange).await,
+            Frame::Forward(head) => serve_forward(&self.0, from, head, exchange).await,
             _ => note(Event::FrameRefused, format_args!("{}: not a question", from.process)),
         }
     }
 }
 
 impl<S: Store, T: Target> Mesh<S, T> {
+    fn send(&self, to: &Hello, frame: Option<Frame>) {
+        let Some(frame) = frame else { return };
+        if let Some(link) = lock(&self.0.members).link(&to.process.name) {
+            link.send(frame);
+        }
+    }
+
     async fn send_document(&self, fetch: version::Fetch, exchange: &mut Exchange) {
         let view = self.0.view.load_full().filter(|view| view.version >= fetch.version);
         let (version, text) = match &view {
--- a/crates/entry/src/policy.rs
+++ b/crates/entry/src/policy.rs
@@ -134,6 +134,10 @@
     let Some(held) = members.follower.current() else { return };
     let view = View::new(held.version, &held.value, &mut lock(&entry.names));
     members.roster.resolve(&view.document);
+    if let Some(region) = view.region_of(&entry.settings.data_centre) {
+        let region = &view.document.regions[region].name;
+        entry.border.resolve(clock::now(), &entry.process, &view.document, region);
+    }
     entry.view.store(Some(Arc::new(view)));
     drop(members);
     entry.gauges.policy_version.set(version as i64);
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Instant as StdInstant;
 
+use ebonypass_core::credit::Place;
+use ebonypass_core::id::RegionId;
 use ebonypass_core::outcome::{Outcome, Reason};
 use ebonypass_core::pool::Job;
-use ebonypass_core::roster::PoolKey;
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_node::peer::Link;
 use ebonypass_node::store::Store;
@@ -17,13 +18,15 @@
 use trillium::{Conn, Handler, KnownHeaderName};
 use trillium_router::RouterConnExt;
 
+use crate::afar::Search;
+use crate::border::Border;
 use crate::claim::{Refusal, claim, settle};
 use crate::driver::Answer;
 use crate::forward::{Parcel, Rest, forward};
 use crate::gauge::{Gauges, ServiceLabels};
 use crate::reply::{PRIOR, answer, refuse, run_status};
 use crate::state::Entry;
-use crate::view::{Terms, scan_block};
+use crate::view::{Terms, View, scan_block};
 
 /// The handler of `/v1/run/:service/:kind`.
 pub(crate) struct Run<S, T: Target>(pub(crate) Arc<Entry<S, T>>);
@@ -49,8 +52,11 @@
     terms: Terms,
     member: String,
     request: Arc<Request>,
-    /// The pool that serves it, if the policy names this entry's data centre.
-    pool: Option<PoolKey>,
+    view: Arc<View>,
+    /// The region of this entry, if the policy names its data centre.
+    region: Option<RegionId>,
+    /// The region of the client.
+    client_region: RegionId,
     deadline: Instant,
     key: Option<String>,
     trace: Context,
@@ -64,7 +70,7 @@
         let span = TraceSpan::new(context, "entry");
         let service = conn.param("service").unwrap_or_default().to_owned();
         let result = match self.read(&mut conn, span.context()).await {
-            Ok(call) => self.claim(call).await,
+            Ok(call) => self.claim(&call).await,
             Err(reason) => Ok(Answer::Failed(reason)),
         };
         let is_known = !matches!(result, Ok(Answer::Failed(Reason::UnknownService)));
@@ -102,7 +108,7 @@
         let member = text("ebonypass-member").ok_or(Reason::UnknownMember)?.to_owned();
         let terms = view.terms(&member, &service, &kind)?;
         let block = text("ebonypass-block").and_then(scan_block).ok_or(Reason::UnknownBlock)?;
-        view.centre(block)?;
+        let client_region = view.document.region_of(view.centre(block)?);
         let deadline = match text("ebonypass-deadline-ms") {
             Some(text) => self.scan_deadline(text)?,
             None => terms.deadline,
@@ -122,8 +128,8 @@
         let idempotent = terms.idempotent;
         let request = Arc::new(Request { service, kind, idempotent, body, content_type });
         let region = view.region_of(&self.0.settings.data_centre);
-        let pool = region.map(|region| view.pool(terms.service, region));
-        Ok(Call { terms, member, request, pool, deadline: clock::now() + deadline, key, trace })
+        let deadline = clock::now() + deadline;
+        Ok(Call { terms, member, request, view, region, client_region, deadline, key, trace })
     }
 
     fn scan_deadline(&self, text: &str) -> Result<Span, Reason> {
@@ -132,7 +138,7 @@
     }
 
     /// Claims the key of non-idempotent work, and serves.
-    async fn claim(&self, call: Call) -> Result<Answer<Rest<T::Reader>>, Refusal> {
+    async fn claim(&self, call: &Call) -> Result<Answer<Rest<T::Reader>>, Refusal> {
         let Some(key) = call.key.as_ref().filter(|_| !call.request.idempotent) else {
             return Ok(self.serve(call).await);
         };
@@ -142,47 +148,114 @@
         Ok(answer)
     }
 
-    /// Serves from the pool's owner entry.
-    async fn serve(&self, call: Call) -> Answer<Rest<T::Reader>> {
-        let Some(link) = self.owner(&call) else { return self.serve_here(call).await };
-        let Some(link) = link else { return Answer::Failed(Reason::NoOwner) };
-        let parcel = Parcel {
-            member: &call.member,
-            request: &call.request,
-            deadline: call.deadline,
-            trace: call.trace,
-            is_remote: false,
+    /// Serves in the home region or, by plan or because the home region cannot, in another one.
+    /// Clients of other regions come here when theirs is gone, and are served here.
+    async fn serve(&self, call: &Call) -> Answer<Rest<T::Reader>> {
+        if let Place::Remote(region) = self.place(call, true)
+            && let Some(answer) = self.serve_afar(call, region).await
+        {
+            return answer;
+        }
+        let answer = self.serve_home(call).await;
+        let Answer::Failed(reason) = answer else { return answer };
+        let is_full =
+            matches!(reason, Reason::DeadlineTooClose | Reason::QueueFull | Reason::NoTarget);
+        if is_full
+            && let Place::Remote(region) = self.place(call, false)
+            && let Some(answer) = self.serve_afar(call, region).await
+        {
+            return answer;
+        }
+        Answer::Failed(reason)
+    }
+
+    fn place(&self, call: &Call, can_serve: bool) -> Place {
+        let Some(home) = call.region.filter(|region| *region == call.client_region) else {
+            return Place::Home;
+        };
+        let (service, deadline) = (call.terms.service, call.deadline);
+        let search = Search { service, home, deadline, can_serve };
+        let now = clock::now();
+        let border = &self.0.border;
+        self.0.afar.choose(now, &call.view, search, |region| border.is_open(now, region))
+    }
+
+    /// Serves in another region, whose credit has been taken. None if nothing was sent there, or
+    /// if the work may be done again.
+    async fn serve_afar(&self, call: &Call, region: RegionId) -> Option<Answer<Rest<T::Reader>>> {
+        let name = call.view.document.regions[region].name.as_str();
+        let pool = call.view.pool(call.terms.service, region);
+        let link = {
+            let members = lock(&self.0.members);
+            let owner = members.roster.owner(clock::now(), pool);
+            owner.and_then(|owner| members.link_of(owner))
         };
-        match forward(&link, parcel).await {
+        let result = match link {
+            Some(link) => forward(&link, self.parcel(call, Some((&self.0.border, name)))).await,
+            None => Err(peer::Error::Unsent),
+        };
+        self.0.afar.put(&call.request.service, name);
+        if result.is_ok() {
+            self.0.gauges.sent_afar.inc();
+        }
+        match result {
+            Ok(answer) => Some(answer),
+            Err(peer::Error::Unsent) => None,
+            Err(peer::Error::Lost) if call.may_repeat() => None,
+            Err(peer::Error::Lost) => Some(Answer::Failed(Reason::PeerLost)),
+        }
+    }
+
+    /// Serves from the entry of this region that owns the pool.
+    async fn serve_home(&self, call: &Call) -> Answer<Rest<T::Reader>> {
+        let Some(link) = self.owner(call) else { return self.serve_here(call).await };
+        let Some(link) = link else { return Answer::Failed(Reason::NoOwner) };
+        match forward(&link, self.parcel(call, None)).await {
             Ok(answer) => answer,
             Err(peer::Error::Unsent) => Answer::Failed(Reason::NoOwner),
             // The owner has gone; until its successor is known, targets shed what is too much.
-            Err(peer::Error::Lost) if call.request.idempotent && clock::now() < call.deadline => {
-                self.serve_here(call).await
-            }
+            Err(peer::Error::Lost) if call.may_repeat() => self.serve_here(call).await,
             Err(peer::Error::Lost) => Answer::Failed(Reason::PeerLost),
         }
     }
 
+    fn parcel<'a>(&self, call: &'a Call, way: Option<(&'a Border, &'a str)>) -> Parcel<'a> {
+        Parcel {
+            member: &call.member,
+            request: &call.request,
+            deadline: call.deadline,
+            trace: call.trace,
+            way,
+        }
+    }
+
     /// The way to the entry that owns the pool: none if it is this one, `Some(None)` if there is
     /// no connection.
     fn owner(&self, call: &Call) -> Option<Option<Arc<Link>>> {
+        let pool = call.view.pool(call.terms.service, call.region?);
         let members = lock(&self.0.members);
-        let owner = members.roster.owner(clock::now(), call.pool?)?;
+        let owner = members.roster.owner(clock::now(), pool)?;
         (owner != members.roster.own()).then(|| members.link_of(owner))
     }
 
-    async fn serve_here(&self, call: Call) -> Answer<Rest<T::Reader>> {
-        let Call { request, deadline, .. } = call;
-        let job = Job { flow: call.terms.flow, deadline, idempotent: request.idempotent };
-        let driver = self.0.pool(&request.service);
-        match driver.offer(job, request, call.trace) {
+    async fn serve_here(&self, call: &Call) -> Answer<Rest<T::Reader>> {
+        let idempotent = call.request.idempotent;
+        let job = Job { flow: call.terms.flow, deadline: call.deadline, idempotent };
+        let driver = self.0.pool(&call.request.service);
+        match driver.offer(job, call.request.clone(), call.trace) {
             Ok(waiting) => waiting.answer().await.map(Rest::Target),
             Err(reason) => Answer::Failed(reason),
         }
     }
 }
 
+impl Call {
+    /// Whether doing the work a second time does no harm and there is time for it.
+    fn may_repeat(&self) -> bool {
+        self.request.idempotent && clock::now() < self.deadline
+    }
+}
+
 fn outcome_of<B>(answer: &Answer<B>) -> Outcome {
     match answer {
         Answer::Answered(_) => Outcome::Answered,
--- /dev/null
+++ b/crates/entry/src/seats.rs
@@ -0,0 +1,130 @@
+//! Carries out what [`ebonypass_core::seat`] decides: store calls, frames and loans.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ebonypass_core::object::{Held, Read, Reply};
+use ebonypass_core::seat::{Action, Seats};
+use ebonypass_node::clock;
+use ebonypass_node::event::{Event, note};
+use ebonypass_node::store::{Error, Object, Store};
+use ebonypass_node::sync::lock;
+use ebonypass_node::target::Target;
+use ebonypass_node::wire::Frame;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol::Timer;
+
+use crate::state::Entry;
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Keeps seats and loans.
+pub(crate) async fn keep<S: Store, T: Target>(entry: Arc<Entry<S, T>>) {
+    let mut held = 0;
+    loop {
+        advance(&entry);
+        borrow(&entry);
+        let (seats, rate) = entry.border.figures(clock::now());
+        entry.gauges.seats.set(seats as i64);
+        entry.gauges.link_rate.set(rate as i64);
+        if seats != held {
+            let event = if seats > held { Event::SeatHeld } else { Event::SeatLost };
+            note(event, format_args!("{seats} in force"));
+            held = seats;
+        }
+        Timer::after(TICK).await;
+    }
+}
+
+/// Starts the calls and sends the frames that are due.
+pub(crate) fn advance<S: Store, T: Target>(entry: &Arc<Entry<S, T>>) {
+    let Some(region) = entry.border.region() else { return };
+    loop {
+        let now = clock::now();
+        let members = lock(&entry.members);
+        let entries = members.near(now, entry.view.load().as_deref(), &region);
+        let action = entry.border.next_action(now, &members.roster, entries, entry.is_leaving());
+        let Some(action) = action else { return };
+        match action {
+            Action::Read => smol::spawn(read(entry.clone(), region.clone())).detach(),
+            Action::Write { if_version, seats } => {
+                smol::spawn(write(entry.clone(), region.clone(), if_version, seats)).detach();
+            }
+            Action::Send { to, message } => {
+                if let Some(link) = members.link(&to) {
+                    link.send(Frame::Seat(message));
+                }
+            }
+        }
+    }
+}
+
+async fn read<S: Store, T: Target>(entry: Arc<Entry<S, T>>, region: String) {
+    let read = read_object(&entry.store, &seat_key(&region)).await;
+    let now = clock::now();
+    entry.border.with_holder(now, |holder| holder.note_read(now, read));
+    advance(&entry);
+}
+
+async fn write<S: Store, T: Target>(
+    entry: Arc<Entry<S, T>>,
+    region: String,
+    if_version: u64,
+    seats: Seats,
+) {
+    let reply = write_object(&entry.store, &seat_key(&region), &seats, if_version).await;
+    let now = clock::now();
+    entry.border.with_holder(now, |holder| holder.note_write(now, reply));
+    advance(&entry);
+}
+
+/// Asks the next neighbour for rate, if some is missing.
+fn borrow<S: Store, T: Target>(entry: &Entry<S, T>) {
+    let Some(region) = entry.border.region() else { return };
+    let now = clock::now();
+    let members = lock(&entry.members);
+    let Some(lender) = members.neighbour(now, entry.view.load().as_deref(), &region) else {
+        return;
+    };
+    if let Some(borrow) = entry.border.next_borrow(now, &lender)
+        && let Some(link) = members.link(&lender)
+    {
+        link.send(Frame::Borrow(borrow));
+    }
+}
+
+fn seat_key(region: &str) -> String {
+    format!("seats/{region}")
+}
+
+/// Reads a JSON object for the decisions of the core. One that cannot be read counts as silent.
+pub(crate) async fn read_object<V: DeserializeOwned>(store: &impl Store, key: &str) -> Read<V> {
+    match store.get(key).await {
+        Ok(Object { version, value }) => match serde_json::from_slice(&value) {
+            Ok(value) => Read::Found(Held { version, value }),
+            Err(error) => {
+                note(Event::ObjectMalformed, format_args!("{key} version {version}: {error}"));
+                Read::Silent
+            }
+        },
+        Err(Error::Absent) => Read::Absent,
+        Err(_) => Read::Silent,
+    }
+}
+
+/// Writes a JSON object for the decisions of the core.
+pub(crate) async fn write_object(
+    store: &impl Store,
+    key: &str,
+    value: &impl Serialize,
+    if_version: u64,
+) -> Reply {
+    let Ok(value) = serde_json::to_vec(value) else { return Reply::Silent };
+    match store.put(key, value, if_version).await {
+        Ok(version) => Reply::Written(version),
+        Err(Error::Conflict { current }) => Reply::Conflict(current),
+        Err(_) => Reply::Silent,
+    }
+}
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -25,7 +25,7 @@
 use crate::run::Run;
 use crate::settings::Settings;
 use crate::state::Entry;
-use crate::{policy, tasks};
+use crate::{afar, policy, seats, steward, tasks};
 
 /// Time between two looks at the work in flight of a stopping process.
 const STOP_INTERVAL: Duration = Duration::from_millis(20);
@@ -88,6 +88,10 @@
             )),
             smol::spawn(sweep(entry.target.clone())),
             smol::spawn(tasks::send_status(entry.clone())),
+            smol::spawn(seats::keep(entry.clone())),
+            smol::spawn(afar::ask(entry.clone())),
+            smol::spawn(afar::follow_plan(entry.clone())),
+            smol::spawn(steward::hold(entry.clone())),
             smol::spawn(tasks::poll_vms(entry.clone())),
             smol::spawn(tasks::poll_loads(entry.clone())),
         ];
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -17,6 +17,8 @@
 use ebonypass_node::sync::lock;
 use ebonypass_node::target::Target;
 
+use crate::afar::Afar;
+use crate::border::Border;
 use crate::driver::Driver;
 use crate::gauge::Gauges;
 use crate::members::Members;
@@ -24,8 +26,8 @@
 use crate::settings::Settings;
 use crate::view::View;
 
-/// An entry's state. Requests read it, tasks change it. Where several locks are held at once, they
-/// are taken in the order of the fields.
+/// An entry's state. Requests read it, tasks change it. Where several locks are held at once,
+/// `members` is taken first.
 pub(crate) struct Entry<S, T: Target> {
     pub(crate) settings: Settings,
     pub(crate) process: Process,
@@ -38,6 +40,8 @@
     pub(crate) vms: ArcSwap<Vec<Vm>>,
     pub(crate) leaving: AtomicBool,
     store_lost: AtomicBool,
+    pub(crate) border: Border,
+    pub(crate) afar: Afar,
     pub(crate) members: Mutex<Members>,
     pub(crate) names: Mutex<Catalogue>,
     pub(crate) journal: Mutex<Journal>,
@@ -62,6 +66,8 @@
             vms: ArcSwap::default(),
             leaving: AtomicBool::new(false),
             store_lost: AtomicBool::new(false),
+            border: Border::new(),
+            afar: Afar::default(),
             members: Mutex::new(members),
             names: Mutex::default(),
             journal: Mutex::new(journal),
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -18,6 +18,7 @@
 
 use crate::driver::Driver;
 use crate::gauge::ServiceLabels;
+use crate::members::STATUS_INTERVAL;
 use crate::state::Entry;
 
 /// Time between two looks at the files of keys and certificates.
@@ -26,9 +27,6 @@
 /// Time between two warnings about a certificate that expires.
 const WARN_INTERVAL: Duration = Duration::from_secs(6 * 3_600);
 
-/// Time between two heartbeats.
-const STATUS_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Time between two readings of the VM list.
 const VM_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -91,7 +89,7 @@
 pub(crate) async fn send_status<S: Store, T: Target>(entry: Arc<Entry<S, T>>) {
     loop {
         beat(&entry);
-        Timer::after(STATUS_INTERVAL).await;
+        clock::sleep(STATUS_INTERVAL).await;
     }
 }
 
@@ -102,7 +100,8 @@
     if entry.is_leaving() {
         members.roster.set_leaving();
     }
-    members.send_status(entry.is_leaving(), pools, 0);
+    members.note_pools(clock::now(), &pools);
+    members.send_status(entry.is_leaving(), pools, entry.afar.epoch());
     let live = members.roster.ready(clock::now()).count().saturating_sub(1);
     entry.gauges.peers.set(live as i64);
 }
