Forward before the home pool refuses, by the entries' own code

The replay also had its own copies of credit and token bucket, so it did not measure what the entries decide. Change: choose_place takes the expected wait at home and the round trip, and sends a request away when the wait is the longer one. Pool gains offer_granted: work that comes against credit is refused only if its deadline cannot be met. The strategy ebonypass uses choose_place, Granter, Wallet and the core Pacer; credit is asked for and granted as between entries, so it arrives a link delay later. ebonypass-early is gone. The new one runs ten times as long, so that the transient is under 1%, and bounds p50 (92 ms), p99 (142 ms) and refusals after the first second by round trip and service time.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -21,6 +21,7 @@
         job: &Job,
         lane: LaneId,
         cost: CostId,
+        is_granted: bool,
     ) -> Result<(), Reason> {
         // Each flow may fill as much of the queue as it leaves free, so that none fills it all.
         let free = self.config.queue_limit.saturating_sub(self.queue.len());
@@ -33,7 +34,8 @@
         // A wait of two services is ordinary, however close the deadline is.
         let limit = limit.max(self.costs[cost].mean().times(2));
         let long_wait = Span::from_micros(wait.as_micros().saturating_mul(WAIT_PERCENT) / 100);
-        if wait > limit || long_wait + self.service_allowance(cost, left) > left {
+        let is_long_wait = wait > limit && !is_granted;
+        if is_long_wait || long_wait + self.service_allowance(cost, left) > left {
             return Err(Reason::DeadlineTooClose);
         }
         Ok(())
--- a/crates/core/src/credit.rs
+++ b/crates/core/src/credit.rs
@@ -109,7 +109,8 @@
         largest.saturating_sub(self.running(entry))
     }
 
-    fn running(&self, entry: EntryId) -> u32 {
+    /// Requests of `entry` under way.
+    pub fn running(&self, entry: EntryId) -> u32 {
         let found = self.running.iter().find(|(other, _)| *other == entry);
         found.map_or(0, |&(_, running)| running)
     }
@@ -175,6 +176,8 @@
     pub left: u32,
     /// Whether an answer from there can arrive before the deadline.
     pub is_in_time: bool,
+    /// The time that a request and its reply spend on the way.
+    pub round_trip: Span,
 }
 
 /// Where a request goes.
@@ -189,12 +192,12 @@
 }
 
 /// Chooses the place of a request that came to its own region. Requests that another region sent
-/// here stay here. `roll` is a random number below 100, `can_serve` tells whether this region can
-/// answer in time, and `remotes` are ordered by preference.
+/// here stay here. `roll` is a random number below 100, `home_wait` is the expected wait for a slot
+/// of this region, nothing if it cannot answer in time, and `remotes` are ordered by preference.
 ///
-/// The planned share comes first, then the home region, then any region with credit: work spills
-/// over only when the home region cannot take it.
-pub fn choose_place(roll: u32, can_serve: bool, remotes: &[Remote]) -> Place {
+/// The planned share comes first. Of the rest, a request goes to the first region with credit whose
+/// round trip is shorter than the wait at home, since a slot that is free there serves it sooner.
+pub fn choose_place(roll: u32, home_wait: Option<Span>, remotes: &[Remote]) -> Place {
     let has_room = |remote: &&Remote| remote.left > 0 && remote.is_in_time;
     let mut below = 0;
     let planned = remotes.iter().find(|remote| {
@@ -204,8 +207,8 @@
     if let Some(remote) = planned.filter(has_room) {
         return Place::Remote(remote.region);
     }
-    if can_serve {
-        return Place::Home;
-    }
-    remotes.iter().find(has_room).map_or(Place::Refused, |remote| Place::Remote(remote.region))
+    let is_sooner = |remote: &&Remote| home_wait.is_none_or(|wait| wait > remote.round_trip);
+    let sooner = remotes.iter().filter(has_room).find(is_sooner);
+    let otherwise = if home_wait.is_some() { Place::Home } else { Place::Refused };
+    sooner.map_or(otherwise, |remote| Place::Remote(remote.region))
 }
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -198,6 +198,16 @@
 
     /// Takes a job into the queue. An error means that it is not run.
     pub fn offer(&mut self, now: Instant, job: Job) -> Result<Ticket, Reason> {
+        self.take(now, job, false)
+    }
+
+    /// Takes a job for which this pool has granted credit, as [`Pool::offer`]. It is refused only
+    /// if its deadline cannot be met, since another region kept it out of its own queue for it.
+    pub fn offer_granted(&mut self, now: Instant, job: Job) -> Result<Ticket, Reason> {
+        self.take(now, job, true)
+    }
+
+    fn take(&mut self, now: Instant, job: Job, is_granted: bool) -> Result<Ticket, Reason> {
         self.now = now;
         if now >= job.deadline {
             return Err(Reason::DeadlineTooClose);
@@ -210,7 +220,7 @@
         let cost = self.costs.enter(job.flow.kind, guess);
         let lane = self.queue.enter(job.flow, cost);
         self.demand.enter(lane);
-        self.admit(now, &job, lane, cost)?;
+        self.admit(now, &job, lane, cost, is_granted)?;
         let id = self.jobs.open(job, lane, cost);
         self.queue.push_back(lane, id);
         self.arm(id);
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::{Driver, Times, at, flow};
-use ebonypass_core::outcome::Outcome;
+use ebonypass_core::outcome::{Outcome, Reason};
+use ebonypass_core::pool::Job;
+use ebonypass_core::time::Span;
 use test_case::test_case;
 
 const SECONDS: u64 = 20;
@@ -68,3 +70,21 @@
     let wait_us = driver.pool.expected_wait(now, flow(0, 0)).as_micros();
     assert!((12_000..=20_000).contains(&wait_us), "{wait_us} us");
 }
+
+/// Guards against a pool that grants credit and then refuses what comes for it, which costs the
+/// caller the way there and back.
+#[test]
+fn granted_job() {
+    let mut driver = overload(4, 3, 0.3, 1, 400_000);
+    driver.run_until(at((SECONDS + 1) * 1_000_000));
+    let now = driver.now;
+    let job = |left_us| Job {
+        flow: flow(0, 0),
+        deadline: now + Span::from_micros(left_us),
+        idempotent: true,
+    };
+    while driver.pool.offer(now, job(400_000)).is_ok() {}
+    assert!(driver.pool.offer_granted(now, job(400_000)).is_ok());
+    let wait_us = driver.pool.expected_wait(now, flow(0, 0)).as_micros();
+    assert_eq!(driver.pool.offer_granted(now, job(wait_us)), Err(Reason::DeadlineTooClose));
+}
--- a/crates/core/tests/credit.rs
+++ b/crates/core/tests/credit.rs
@@ -10,23 +10,32 @@
 
 const START: Instant = Instant::from_micros(1_000_000);
 
+const ROUND_TRIP: Span = Span::from_millis(40);
+const LONGER: Span = Span::from_micros(40_001);
+
 const fn remote(region: u16, percent: u32, left: u32) -> Remote {
-    Remote { region: RegionId(region), percent, left, is_in_time: true }
+    Remote { region: RegionId(region), percent, left, is_in_time: true, round_trip: ROUND_TRIP }
 }
 
+const FAR: Remote = Remote { round_trip: Span::from_millis(70), ..remote(2, 0, 5) };
 const LATE: Remote = Remote { is_in_time: false, ..remote(2, 0, 5) };
 
 // Work that leaves its region without need or without credit overloads another one (P2).
-#[test_case(0, true, &[], Place::Home; "no other region")]
-#[test_case(19, true, &[remote(1, 20, 3)], Place::Remote(RegionId(1)); "planned share")]
-#[test_case(20, true, &[remote(1, 20, 3)], Place::Home; "rest of the share")]
-#[test_case(25, true, &[remote(1, 20, 3), remote(2, 10, 3)], Place::Remote(RegionId(2)); "second share")]
-#[test_case(0, true, &[remote(1, 20, 0)], Place::Home; "share without credit")]
-#[test_case(50, false, &[remote(1, 0, 0), remote(2, 0, 1)], Place::Remote(RegionId(2)); "spill over")]
-#[test_case(50, false, &[remote(1, 0, 0)], Place::Refused; "spill without credit")]
-#[test_case(50, false, &[LATE], Place::Refused; "too far for the deadline")]
-fn place(roll: u32, can_serve: bool, remotes: &[Remote], place: Place) {
-    assert_eq!(choose_place(roll, can_serve, remotes), place);
+#[test_case(0, Some(Span::ZERO), &[], Place::Home; "no other region")]
+#[test_case(19, Some(Span::ZERO), &[remote(1, 20, 3)], Place::Remote(RegionId(1)); "planned share")]
+#[test_case(20, Some(Span::ZERO), &[remote(1, 20, 3)], Place::Home; "rest of the share")]
+#[test_case(25, Some(Span::ZERO), &[remote(1, 20, 3), remote(2, 10, 3)], Place::Remote(RegionId(2)); "second share")]
+#[test_case(0, Some(Span::ZERO), &[remote(1, 20, 0)], Place::Home; "share without credit")]
+#[test_case(50, None, &[remote(1, 0, 0), remote(2, 0, 1)], Place::Remote(RegionId(2)); "spill over")]
+#[test_case(50, None, &[remote(1, 0, 0)], Place::Refused; "spill without credit")]
+#[test_case(50, None, &[LATE], Place::Refused; "too far for the deadline")]
+#[test_case(50, Some(ROUND_TRIP), &[remote(1, 0, 3)], Place::Home; "wait as long as the way")]
+#[test_case(50, Some(LONGER), &[remote(1, 0, 3)], Place::Remote(RegionId(1)); "wait longer than the way")]
+#[test_case(50, Some(LONGER), &[FAR, remote(1, 0, 3)], Place::Remote(RegionId(1)); "wait longer than one way")]
+#[test_case(50, Some(LONGER), &[remote(1, 0, 0)], Place::Home; "wait without credit")]
+#[test_case(50, Some(LONGER), &[LATE], Place::Home; "wait and too far for the deadline")]
+fn place(roll: u32, home_wait: Option<Span>, remotes: &[Remote], place: Place) {
+    assert_eq!(choose_place(roll, home_wait, remotes), place);
 }
 
 // Credit that outlives its slots overloads the region that gave it.
--- a/crates/replay/src/link.rs
+++ b/crates/replay/src/link.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 
 use ebonypass_core::id::RegionId;
+use ebonypass_core::pacer::{Pacer, Rate};
 use ebonypass_core::policy::{Document, Link};
+use ebonypass_core::share::SEAT_PERCENT;
 use ebonypass_core::time::{Instant, Span};
 
 /// The window over which a cap holds.
@@ -12,11 +14,8 @@
 /// The window over which a use counts as sustained.
 pub const SUSTAINED_WINDOW: Span = Span::from_secs(1);
 
-/// Part of a cap that the senders share (docs/design.md, D6).
-const SHARE: f64 = 0.96;
-
-/// Burst as a part of the cap over [`CAP_WINDOW`] (docs/design.md, D6).
-const BURST: f64 = 0.03;
+/// Burst in percent of the cap over [`CAP_WINDOW`] (docs/design.md, D6).
+const BURST_PERCENT: u64 = 3;
 
 /// Bytes that a sender writes at once.
 const PIECE: u64 = 16 * 1024;
@@ -34,6 +33,8 @@
     /// What the policy says of it.
     pub spec: Link,
     pacer: Pacer,
+    /// When the last piece that was handed over is sent.
+    sent_at: Instant,
     /// The check of the cap, which does not use the pacer.
     pub cap: Window,
     /// Use over a longer time.
@@ -42,15 +43,6 @@
     series: Vec<u64>,
 }
 
-/// A token bucket that tells when a piece may be sent.
-#[derive(Debug)]
-struct Pacer {
-    bytes_per_us: f64,
-    burst: f64,
-    /// When the bucket is full again, in microseconds.
-    full_at: f64,
-}
-
 /// Bytes sent within a window that slides with each piece.
 #[derive(Debug)]
 pub struct Window {
@@ -88,7 +80,7 @@
         self.links
             .iter()
             .find(|line| line.spec.from == from && line.spec.to == to)
-            .map_or(Span::ZERO, |line| line.pacer.wait(now))
+            .map_or(Span::ZERO, |line| line.backlog(now))
     }
 
     /// Every link.
@@ -103,14 +95,18 @@
 
 impl Line {
     fn new(spec: Link) -> Line {
-        let cap = spec.cap_bytes() as f64;
+        let cap_bytes = spec.cap_bytes();
+        let rate = Rate {
+            bytes_per_s: cap_bytes / 100 * SEAT_PERCENT,
+            burst_bytes: cap_bytes * CAP_WINDOW.as_millis() / 1_000 * BURST_PERCENT / 100,
+        };
+        let mut pacer = Pacer::new(Instant::ZERO);
+        pacer.set_rate(Instant::ZERO, rate, Instant::MAX);
+        let cap = cap_bytes as f64;
         Line {
             spec,
-            pacer: Pacer {
-                bytes_per_us: SHARE * cap / 1e6,
-                burst: BURST * cap * CAP_WINDOW.as_micros() as f64 / 1e6,
-                full_at: 0.0,
-            },
+            pacer,
+            sent_at: Instant::ZERO,
             cap: Window::new(CAP_WINDOW, cap),
             sustained: Window::new(SUSTAINED_WINDOW, cap),
             series: Vec::new(),
@@ -123,15 +119,24 @@
     }
 
     fn send_paced(&mut self, now: Instant, bytes: u64) -> Instant {
+        let most = PIECE.min(self.pacer.rate(now).burst_bytes);
+        self.sent_at = self.sent_at.max(now);
         let mut left = bytes;
-        let mut at = now;
-        while left > 0 {
-            let piece = left.min(PIECE).min((self.pacer.burst as u64).max(1));
-            at = self.pacer.take(now, piece);
+        while left > 0
+            && let Some(at) = self.pacer.ready_at(self.sent_at, left.min(most))
+        {
+            let piece = self.pacer.take(at, left.min(most));
+            self.sent_at = at;
             self.record(at, piece);
             left -= piece;
         }
-        at
+        self.sent_at
+    }
+
+    /// How long a byte handed over now would wait.
+    fn backlog(&self, now: Instant) -> Span {
+        let ready_at = self.pacer.clone().ready_at(now.max(self.sent_at), 1);
+        ready_at.map_or(Span::ZERO, |at| at.since(now))
     }
 
     fn send_at_once(&mut self, now: Instant, bytes: u64) -> Instant {
@@ -150,22 +155,6 @@
     }
 }
 
-impl Pacer {
-    /// Takes `bytes` out of the bucket and returns when they may be sent.
-    fn take(&mut self, now: Instant, bytes: u64) -> Instant {
-        let bytes = bytes as f64;
-        let earliest = self.full_at - (self.burst - bytes) / self.bytes_per_us;
-        let at = (now.as_micros() as f64).max(earliest.ceil());
-        self.full_at = self.full_at.max(at) + bytes / self.bytes_per_us;
-        Instant::from_micros(at as u64)
-    }
-
-    fn wait(&self, now: Instant) -> Span {
-        let earliest = self.full_at - self.burst / self.bytes_per_us;
-        Span::from_micros((earliest - now.as_micros() as f64).max(0.0) as u64)
-    }
-}
-
 impl Window {
     fn new(length: Span, cap_bytes: f64) -> Window {
         let limit = cap_bytes * length.as_micros() as f64 / 1e6;
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -19,7 +19,7 @@
     /// policy document
     #[argh(option)]
     policy: Option<PathBuf>,
-    /// ebonypass (default), ebonypass-early, round-robin, least-loaded or independent
+    /// ebonypass (default), round-robin, least-loaded or independent
     #[argh(option, default = "\"ebonypass\".to_owned()")]
     strategy: String,
     /// measure every stated outcome of --strategy on the recorded traces in this directory and on all scenarios;
--- a/crates/replay/src/model.rs
+++ b/crates/replay/src/model.rs
@@ -748,14 +748,12 @@
 }
 
 /// Names of the strategies.
-pub const STRATEGIES: [&str; 5] =
-    ["ebonypass", "ebonypass-early", "round-robin", "least-loaded", "independent"];
+pub const STRATEGIES: [&str; 4] = ["ebonypass", "round-robin", "least-loaded", "independent"];
 
 /// Plays `trace` against the strategy called `name`.
 pub fn run_strategy(document: &Document, trace: &Trace, name: &str) -> anyhow::Result<Tally> {
     Ok(match name {
         "ebonypass" => run_trace(document, trace, Steer::new(document)),
-        "ebonypass-early" => run_trace(document, trace, Steer::new(document).with_early_spill()),
         "round-robin" => {
             run_trace(document, trace, Direct::new(document, RoundRobin::new(document)))
         }
--- a/crates/replay/src/steer.rs
+++ b/crates/replay/src/steer.rs
@@ -4,7 +4,8 @@
 //! pool refuses goes to another region only against credit (D7). Not modelled: planned shifts,
 //! seats below a link's cap, request keys, and two entries that both believe to own a pool.
 
-use ebonypass_core::id::{CentreId, Key, RegionId, ServiceId, TargetId};
+use ebonypass_core::credit::{CREDIT, Granter, Place, Remote, Wallet, choose_place};
+use ebonypass_core::id::{CentreId, EntryId, Key, RegionId, ServiceId, TargetId};
 use ebonypass_core::outcome::{Outcome, Reason};
 use ebonypass_core::policy::Document;
 use ebonypass_core::pool::{
@@ -22,9 +23,6 @@
 /// Time after which another entry owns the pools of a dead one (docs/design.md, section 8).
 const TAKEOVER: Span = Span::from_secs(2);
 
-/// Lifetime of a grant of credit (docs/design.md, section 6).
-const CREDIT_LIFE: Span = Span::from_secs(1);
-
 /// A region whose replies wait this long for the link grants no more than it holds, so that the
 /// replies it owes stay within their deadlines. Credit is renewed every 100 ms; with a shorter
 /// backlog the link would run idle between two grants.
@@ -33,6 +31,9 @@
 /// A region whose replies wait this long grants nothing.
 const BACKLOG_STOP: Span = Span::from_millis(250);
 
+/// Planned shifts are not modelled, so no request is rolled into one.
+const NO_SHIFT_ROLL: u32 = 0;
+
 /// Numbers of attempts of one ticket are below this, so that each ticket of a request has its own
 /// range of attempt numbers.
 const TICKET_STRIDE: u16 = 256;
@@ -45,9 +46,8 @@
     states: Vec<State>,
     alive: Vec<bool>,
     records: Vec<Option<Record>>,
-    grants: Agenda<Grant>,
+    frames: Agenda<Frame>,
     ticks: usize,
-    spills_early: bool,
 }
 
 /// The owner of a pool and what it knows.
@@ -60,35 +60,26 @@
     owner: CentreId,
     takeover_at: Option<Instant>,
     tickets: FxHashMap<Ticket, RequestId>,
-    /// How long the latest dispatched job of each flow had waited for its slot.
-    waits: FxHashMap<Flow, Span>,
-    /// Jobs held for entries of each other region.
-    foreign: Vec<u32>,
-    /// Requests at each other region.
-    outstanding: Vec<u32>,
-    /// What each other region granted.
-    credits: Vec<Credit>,
+    /// Credit granted to the owners in other regions.
+    granter: Granter,
+    /// Credit granted by each other region.
+    wallets: Vec<Wallet>,
+    /// How long replies to each other region wait for the link.
+    backlogs: Vec<Span>,
 }
 
+/// A message between the owners of a service's pools in two regions.
 #[derive(Debug, Clone, Copy)]
-struct Credit {
-    count: u32,
-    until: Instant,
-}
-
-/// A message that gives credit to the owner of `post`.
-#[derive(Debug, Clone, Copy)]
-struct Grant {
-    post: usize,
-    from: RegionId,
-    credit: Credit,
+enum Frame {
+    /// `from` asks the owner of `post` for credit.
+    Need { post: usize, from: usize, round: u64 },
+    /// `from` grants credit to the owner of `post`.
+    Credit { post: usize, from: usize, round: u64, count: u32 },
 }
 
 #[derive(Debug, Clone)]
 struct Record {
     inquiry: Inquiry,
-    /// When it reached the entry.
-    entered: Instant,
     home: usize,
     /// The region that it was forwarded to and has not come back from.
     away: Option<RegionId>,
@@ -105,9 +96,8 @@
             states: vec![State::Ready; document.targets.len()],
             alive: vec![true; document.centres.len()],
             records: Vec::new(),
-            grants: Agenda::new(),
+            frames: Agenda::new(),
             ticks: 0,
-            spills_early: false,
         };
         for (service, _) in document.services.iter() {
             for (region, _) in document.regions.iter() {
@@ -121,15 +111,8 @@
         steer
     }
 
-    /// Entries that also use credit when the wait at home is longer than the way to the other
-    /// region and back, and not only when the home pool refuses.
-    pub fn with_early_spill(self) -> Steer<'a> {
-        Steer { spills_early: true, ..self }
-    }
-
     fn new_post(&self, service: ServiceId, region: RegionId) -> Post {
         let centres = self.centres(region);
-        let none = Credit { count: 0, until: Instant::ZERO };
         Post {
             service,
             region,
@@ -138,10 +121,9 @@
             owner: centres[service.index() % centres.len()],
             takeover_at: None,
             tickets: FxHashMap::default(),
-            waits: FxHashMap::default(),
-            foreign: vec![0; self.document.regions.len()],
-            outstanding: vec![0; self.document.regions.len()],
-            credits: vec![none; self.document.regions.len()],
+            granter: Granter::new(),
+            wallets: vec![Wallet::new(); self.document.regions.len()],
+            backlogs: vec![Span::ZERO; self.document.regions.len()],
         }
     }
 
@@ -184,28 +166,6 @@
         self.records.get_mut(request.0 as usize)?.as_mut()
     }
 
-    /// Whether a request that joins the queue of its home pool would wait longer than the way to
-    /// the region with the most unused credit and back.
-    fn is_nearer_elsewhere(&self, now: Instant, home: usize, inquiry: &Inquiry) -> bool {
-        let post = &self.posts[home];
-        if !self.spills_early || post.pool.as_ref().is_none_or(|pool| pool.queued() == 0) {
-            return false;
-        }
-        let Some(&wait) = post.waits.get(&flow_of(inquiry)) else { return false };
-        let region = self.region_with_credit(now, home, inquiry.deadline);
-        let delay = region.and_then(|region| self.delay(post.region, region));
-        delay.is_some_and(|delay| wait > delay.times(2))
-    }
-
-    /// Notes how long a job waited before its first dispatch from its home pool.
-    fn note_wait(&mut self, now: Instant, post: usize, request: RequestId) {
-        let Some(record) = self.record(request).filter(|record| record.home == post) else {
-            return;
-        };
-        let (flow, wait) = (flow_of(&record.inquiry), now.since(record.entered));
-        self.posts[post].waits.insert(flow, wait);
-    }
-
     /// Offers the request to the pool of `post`.
     fn offer(
         &mut self,
@@ -215,8 +175,9 @@
         deadline: Instant,
     ) -> Result<(), Reason> {
         let job = Job { flow: flow_of(inquiry), deadline, idempotent: inquiry.idempotent };
+        let is_home = self.record(inquiry.request).is_some_and(|record| record.home == post);
         let pool = self.posts[post].pool.as_mut().ok_or(Reason::NoOwner)?;
-        let ticket = pool.offer(now, job)?;
+        let ticket = if is_home { pool.offer(now, job)? } else { pool.offer_granted(now, job)? };
         self.posts[post].tickets.insert(ticket, inquiry.request);
         if let Some(record) = self.record_mut(inquiry.request) {
             record.tickets.push((post, ticket));
@@ -238,9 +199,6 @@
             Action::Dispatch { ticket, attempt, target }
             | Action::Hedge { ticket, attempt, target } => {
                 let Some(key) = self.key(post, ticket, attempt) else { return };
-                if attempt == Attempt(0) {
-                    self.note_wait(now, post, key.request);
-                }
                 out.push(Command::Dispatch { key, target });
             }
             Action::Cancel { ticket, attempt, .. } => {
@@ -277,7 +235,15 @@
         out: &mut Vec<Command>,
     ) {
         let home = self.record(request).map(|record| record.home);
-        if home == Some(post) && self.spill(now, request, reason, out) {
+        let may_run_elsewhere = matches!(
+            reason,
+            Reason::DeadlineTooClose
+                | Reason::QueueFull
+                | Reason::NoTarget
+                | Reason::NoOwner
+                | Reason::Shed
+        );
+        if home == Some(post) && may_run_elsewhere && self.spill(now, request, None, out) {
             return;
         }
         self.settle(post, request, Outcome::NotRun, out);
@@ -296,35 +262,30 @@
             out.push(Command::Finish { request, outcome });
             return;
         }
-        let region = self.posts[home].region;
-        let held = &mut self.posts[post].foreign[region.index()];
-        *held = held.saturating_sub(1);
+        let owner = owner_of(self.posts[home].region);
+        self.posts[post].granter.end(owner);
         out.push(Command::Return { request, outcome });
     }
 
-    /// Forwards the request to the region with the most unused credit. Tells whether it did.
+    /// Forwards the request to another region if that is better than `home_wait` at home, nothing
+    /// if the home pool does not run it. Tells whether it did.
     fn spill(
         &mut self,
         now: Instant,
         request: RequestId,
-        reason: Reason,
+        home_wait: Option<Span>,
         out: &mut Vec<Command>,
     ) -> bool {
-        let may_run_elsewhere = matches!(
-            reason,
-            Reason::DeadlineTooClose
-                | Reason::QueueFull
-                | Reason::NoTarget
-                | Reason::NoOwner
-                | Reason::Shed
-        );
-        let Some(record) = self.record(request).filter(|_| may_run_elsewhere) else {
+        let Some(record) = self.record(request) else { return false };
+        let (home, deadline) = (record.home, record.inquiry.deadline);
+        let remotes = self.remotes(now, home, deadline);
+        let Place::Remote(region) = choose_place(NO_SHIFT_ROLL, home_wait, &remotes) else {
             return false;
         };
-        let (home, deadline) = (record.home, record.inquiry.deadline);
-        let Some(region) = self.region_with_credit(now, home, deadline) else { return false };
+        if !self.posts[home].wallets[region.index()].take(now) {
+            return false;
+        }
         let to = self.posts[self.post(self.posts[home].service, region)].owner;
-        self.posts[home].outstanding[region.index()] += 1;
         if let Some(record) = self.record_mut(request) {
             record.away = Some(region);
         }
@@ -332,60 +293,86 @@
         true
     }
 
-    fn region_with_credit(&self, now: Instant, home: usize, deadline: Instant) -> Option<RegionId> {
+    /// The other regions, those with the most unused credit first.
+    fn remotes(&self, now: Instant, home: usize, deadline: Instant) -> Vec<Remote> {
         let post = &self.posts[home];
-        let mut best = None;
-        for (region, _) in self.document.regions.iter() {
-            let Some(delay) = self.delay(post.region, region) else { continue };
-            let credit = post.credits[region.index()];
-            let unused = credit.count.saturating_sub(post.outstanding[region.index()]);
-            let is_near = now + delay.times(2) < deadline;
-            if credit.until > now && is_near && unused > best.map_or(0, |(most, _)| most) {
-                best = Some((unused, region));
-            }
+        let remote = |region: RegionId| {
+            let round_trip = self.delay(post.region, region)?.times(2);
+            let left = post.wallets[region.index()].left(now);
+            let is_in_time = now + round_trip < deadline;
+            Some(Remote { region, percent: 0, left, is_in_time, round_trip })
+        };
+        let regions = self.document.regions.iter().map(|(region, _)| region);
+        let mut remotes: Vec<Remote> = regions.filter_map(remote).collect();
+        remotes.sort_by_key(|remote| std::cmp::Reverse(remote.left));
+        remotes
+    }
+
+    /// Asks the pools of the service in the other regions for credit.
+    fn ask(&mut self, now: Instant, from: usize) {
+        if self.posts[from].pool.is_none() {
+            return;
+        }
+        let (service, region) = (self.posts[from].service, self.posts[from].region);
+        for (other, _) in self.document.regions.iter() {
+            let Some(delay) = self.delay(region, other) else { continue };
+            let round = self.posts[from].wallets[other.index()].ask(now);
+            let post = self.post(service, other);
+            self.frames.add(now + delay, Frame::Need { post, from, round });
         }
-        best.map(|(_, region)| region)
-    }
-
-    /// Sends credit for the pool of `post` to the other regions.
-    fn grant(&mut self, now: Instant, post: usize, links: &Links) {
-        let Some(pool) = &self.posts[post].pool else { return };
-        let free = pool.free_slots(now) as usize;
-        let (service, region) = (self.posts[post].service, self.posts[post].region);
-        let others: Vec<(RegionId, Span)> = self
-            .document
-            .regions
-            .iter()
-            .filter_map(|(other, _)| Some((other, self.delay(region, other)?)))
-            .collect();
-        // A region that uses its credit gets more of the free slots than one that does not.
-        let held = |other: RegionId| self.posts[post].foreign[other.index()];
-        let weights: usize = others.iter().map(|&(other, _)| held(other) as usize + 1).sum();
-        let share = |other: RegionId| free * (held(other) as usize + 1) / weights;
-        let rest = free - others.iter().map(|&(other, _)| share(other)).sum::<usize>();
-        for (index, &(other, delay)) in others.iter().enumerate() {
-            let is_turn = index == self.ticks % others.len();
-            let share = share(other) + if is_turn { rest } else { 0 };
-            let held = held(other);
-            let backlog = links.backlog(now, region, other);
-            let count = if backlog > BACKLOG_STOP {
-                0
-            } else if backlog > BACKLOG_HOLD {
-                held
-            } else {
-                held + share as u32
-            };
-            let credit = Credit { count, until: now + CREDIT_LIFE };
-            let grant = Grant { post: self.post(service, other), from: region, credit };
-            self.grants.add(now + delay, grant);
+    }
+
+    /// Notes how long replies from the region of `post` to the others wait for their links.
+    fn note_backlog(&mut self, now: Instant, post: usize, links: &Links) {
+        let region = self.posts[post].region;
+        for (other, _) in self.document.regions.iter() {
+            self.posts[post].backlogs[other.index()] = links.backlog(now, region, other);
+        }
+    }
+
+    /// Answers a question for credit of the owner of the pool `from`.
+    fn grant(&mut self, now: Instant, post: usize, from: usize, round: u64) {
+        let to = self.posts[from].region;
+        let Some(delay) = self.delay(self.posts[post].region, to) else { return };
+        let Some(free) = self.posts[post].pool.as_ref().map(|pool| pool.free_slots(now)) else {
+            return;
+        };
+        let wanted = self.wanted(post, to, free);
+        let count = self.posts[post].granter.grant(now, owner_of(to), wanted, free);
+        self.frames.add(now + delay, Frame::Credit { post: from, from: post, round, count });
+    }
+
+    /// The most that the owner in `to` may hold of the pool of `post`, which has `free` slots: what
+    /// it holds and a share of the free slots. A region that uses its credit gets a larger share.
+    fn wanted(&self, post: usize, to: RegionId, free: u32) -> u32 {
+        let Post { region, granter, backlogs, .. } = &self.posts[post];
+        let regions = self.document.regions.iter().map(|(other, _)| other);
+        let others: Vec<RegionId> =
+            regions.filter(|&other| self.delay(*region, other).is_some()).collect();
+        let held = |other: RegionId| granter.running(owner_of(other));
+        let weights: u32 = others.iter().map(|&other| held(other) + 1).sum();
+        let share = |other: RegionId| free * (held(other) + 1) / weights;
+        let rest = free - others.iter().map(|&other| share(other)).sum::<u32>();
+        let is_turn = others[self.ticks % others.len()] == to;
+        let share = share(to) + if is_turn { rest } else { 0 };
+        match backlogs[to.index()] {
+            backlog if backlog > BACKLOG_STOP => 0,
+            backlog if backlog > BACKLOG_HOLD => held(to),
+            _ => held(to) + share,
         }
     }
 
-    fn take_grants(&mut self, now: Instant) {
-        while self.grants.next_at().is_some_and(|at| at <= now)
-            && let Some((_, grant)) = self.grants.take()
+    fn take_frames(&mut self, now: Instant) {
+        while self.frames.next_at().is_some_and(|at| at <= now)
+            && let Some((_, frame)) = self.frames.take()
         {
-            self.posts[grant.post].credits[grant.from.index()] = grant.credit;
+            match frame {
+                Frame::Need { post, from, round } => self.grant(now, post, from, round),
+                Frame::Credit { post, from, round, count } => {
+                    let region = self.posts[from].region;
+                    self.posts[post].wallets[region.index()].note_credit(round, count, CREDIT);
+                }
+            }
         }
     }
 
@@ -415,6 +402,11 @@
     }
 }
 
+/// The owner of a service's pool in `region`, as the other owners know it.
+fn owner_of(region: RegionId) -> EntryId {
+    EntryId::from_index(region.index())
+}
+
 fn flow_of(inquiry: &Inquiry) -> Flow {
     Flow { member: inquiry.member, kind: inquiry.kind }
 }
@@ -438,10 +430,10 @@
             self.records.resize(index + 1, None);
         }
         self.records[index] =
-            Some(Record { inquiry: *inquiry, entered: now, home, away: None, tickets: Vec::new() });
-        if self.is_nearer_elsewhere(now, home, inquiry)
-            && self.spill(now, inquiry.request, Reason::DeadlineTooClose, out)
-        {
+            Some(Record { inquiry: *inquiry, home, away: None, tickets: Vec::new() });
+        let pool = self.posts[home].pool.as_mut();
+        let wait = pool.map(|pool| pool.expected_wait(now, flow_of(inquiry)));
+        if wait.is_some() && self.spill(now, inquiry.request, wait, out) {
             return;
         }
         match self.offer(now, home, inquiry, inquiry.deadline) {
@@ -455,7 +447,7 @@
         let post = self.post(inquiry.service, region);
         let Some(home) = self.record(inquiry.request).map(|record| record.home) else { return };
         let home_region = self.posts[home].region;
-        self.posts[post].foreign[home_region.index()] += 1;
+        self.posts[post].granter.start(owner_of(home_region));
         let back = self.delay(region, home_region).unwrap_or(Span::ZERO);
         match self.offer(now, post, inquiry, inquiry.deadline - back) {
             Ok(()) => self.drain(now, post, out),
@@ -474,8 +466,7 @@
         let Some(record) = self.record_mut(request) else { return };
         let home = record.home;
         if let Some(region) = record.away.take() {
-            let outstanding = &mut self.posts[home].outstanding[region.index()];
-            *outstanding = outstanding.saturating_sub(1);
+            self.posts[home].wallets[region.index()].put();
         }
         out.push(Command::Finish { request, outcome });
     }
@@ -526,10 +517,8 @@
             post.pool = None;
             post.takeover_at = Some(now + TAKEOVER);
             post.tickets.clear();
-            post.waits.clear();
-            post.foreign.fill(0);
-            post.outstanding.fill(0);
-            post.credits.fill(Credit { count: 0, until: Instant::ZERO });
+            post.granter = Granter::new();
+            post.wallets.fill(Wallet::new());
         }
     }
 
@@ -545,12 +534,13 @@
     fn tick(&mut self, now: Instant, links: &Links, _out: &mut Vec<Command>) {
         self.ticks += 1;
         for post in 0..self.posts.len() {
-            self.grant(now, post, links);
+            self.ask(now, post);
+            self.note_backlog(now, post, links);
         }
     }
 
     fn wake(&mut self, now: Instant, out: &mut Vec<Command>) {
-        self.take_grants(now);
+        self.take_frames(now);
         self.take_over(now);
         for post in 0..self.posts.len() {
             let wake_at = self.posts[post].pool.as_ref().and_then(Pool::wake_at);
@@ -563,6 +553,6 @@
     fn wake_at(&self) -> Option<Instant> {
         let pools = self.posts.iter().filter_map(|post| post.pool.as_ref()?.wake_at());
         let takeovers = self.posts.iter().filter_map(|post| post.takeover_at);
-        pools.chain(takeovers).chain(self.grants.next_at()).min()
+        pools.chain(takeovers).chain(self.frames.next_at()).min()
     }
 }
--- a/crates/replay/tests/hand_traces.rs
+++ b/crates/replay/tests/hand_traces.rs
@@ -185,15 +185,20 @@
     }
 }
 
-/// Requests arrive at the near region a fifth faster than its two slots serve them.
-/// With `ebonypass-early` the far region's free slots serve some of them before the home pool
-/// refuses any; guards against credit that stays unused while work waits.
+/// Requests arrive at the near region a fifth faster than its two slots serve them, for 63 s. The
+/// far region is idle, so a request waits at home for no longer than the way there and back and
+/// the one service that its forecast may be short by: 42 ms on the way, two services of 50 ms. In
+/// the first second the kind's cost is unknown and no credit has come; later nothing is refused.
+/// Guards against credit that stays unused while work waits or is refused.
 #[test]
 fn early_spill() {
     let lines: Vec<String> =
-        (0..300).map(|id| arrive(id * 21_000, id, "hall", "read", "near-1", 50_000)).collect();
-    let (late, early) = (replay("ebonypass", &lines), replay("ebonypass-early", &lines));
-    assert!(early.total.p99_us < late.total.p99_us, "{late}\n{early}");
-    assert!(early.total.answered >= late.total.answered, "{late}\n{early}");
-    assert_eq!((early.region_overloads, early.link_cap_violations), (0, 0));
+        (0..3_000).map(|id| arrive(id * 21_000, id, "hall", "read", "near-1", 50_000)).collect();
+    let (start, report) = (replay("ebonypass", &lines[..48]), replay("ebonypass", &lines));
+    assert!(report.total.p50_us <= 92_000, "{report}");
+    assert!(report.total.p99_us <= 142_000, "{report}");
+    assert_eq!(report.total.not_run, start.total.not_run, "{report}");
+    assert_eq!(report.total.answered + report.total.not_run, 3_000, "{report}");
+    assert_eq!((report.total.late, report.region_overloads), (0, 0));
+    assert_eq!(report.link_cap_violations, 0);
 }
--- a/crates/replay/tests/seeded_scenarios.rs
+++ b/crates/replay/tests/seeded_scenarios.rs
@@ -14,7 +14,6 @@
 /// The same trace, policy and strategy give the same report; guards against iteration over hash
 /// maps and other sources of chance.
 #[test_case("ebonypass"; "ebonypass")]
-#[test_case("ebonypass-early"; "ebonypass early")]
 #[test_case("round-robin"; "round robin")]
 #[test_case("least-loaded"; "least loaded")]
 #[test_case("independent"; "independent")]
