--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -22,7 +22,7 @@
 const GOOD_PROBES: u32 = 2;
 /// Bounds of the time between two probes, which doubles after each bad one.
 const FIRST_PROBE: Span = Span::from_millis(20);
-const LAST_PROBE: Span = Span::from_millis(320);
+const LAST_PROBE: Span = Span::from_millis(160);
 /// A suspect that is due for a probe for this long is re-admitted without one.
 pub(crate) const PROBE_PATIENCE: Span = Span::from_secs(1);
 /// Why a target is a suspect, and what probes have shown.
