Test a pool whose targets all slow down alike

Cause: nothing guarded against a pool that takes a general slowdown for stragglers. Change: test all_slow. Conclusion: no change of decisions needed.

--- a/crates/core/tests/stragglers.rs
+++ b/crates/core/tests/stragglers.rs
@@ -130,3 +130,23 @@
     }
     assert!(targets.contains(&TargetId(1)), "a target that reports again gets work");
 }
+
+/// Guards against a pool that shuts itself when all targets slow down alike: its learned slot times
+/// are wrong then, not the targets.
+#[test]
+fn all_slow() {
+    let mut driver = Driver::new(4, 3);
+    let mut times = Times::new(9);
+    let mut next = 0;
+    while next < 20_000_000 {
+        driver.run_until(at(next));
+        driver.slowdown.fill(if next < 5_000_000 { 1 } else { 3 });
+        let service_us = times.service_us(MEAN_US);
+        let _ = driver.offer(flow(0, 0), 20 * DEADLINE_US, true, service_us);
+        next += times.exponential_us(MEAN_US / 12.0 / 0.25);
+    }
+    driver.run_until(at(21_000_000));
+    let answered = driver.count(flow(0, 0), Outcome::Answered);
+    assert!(answered * 100 >= driver.done.len() * 99, "{answered} of {}", driver.done.len());
+    assert!(driver.hedges * 20 <= driver.dispatches);
+}
