--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -25,6 +25,17 @@
     asked_at: Instant,
 }
 
+impl Canvass {
+    /// Adds each vote once, since repeated questions bring the same answers.
+    fn add(&mut self, votes: &[Vote]) {
+        for vote in votes {
+            if !self.votes.contains(vote) {
+                self.votes.push(*vote);
+            }
+        }
+    }
+}
+
 impl Holder {
     /// Asks for promises if the store has not renewed the seats in time.
     pub(crate) fn start_round(&mut self, now: Instant) {
@@ -113,11 +124,12 @@
         if asked.is_some_and(|canvass| now < canvass.asked_at + ROUND_PAUSE) {
             return;
         }
-        let mut votes = self.consent(now, tenure).unwrap_or_default();
-        if let Some(canvass) = self.canvass.take().filter(|canvass| canvass.tenure == tenure) {
-            votes.extend(canvass.votes);
-        }
-        self.canvass = Some(Canvass { tenure, votes, asked_at: now });
+        let votes = self.consent(now, tenure).unwrap_or_default();
+        let same = self.canvass.take().filter(|canvass| canvass.tenure == tenure);
+        let mut canvass = same.unwrap_or(Canvass { tenure, votes: Vec::new(), asked_at: now });
+        canvass.asked_at = now;
+        canvass.add(&votes);
+        self.canvass = Some(canvass);
         self.send_to_holders(&Message::TakeOver(TakeOver { tenure }));
     }
 
@@ -137,11 +149,7 @@
         if canvass.tenure != consent.tenure {
             return;
         }
-        for vote in &consent.votes {
-            if !canvass.votes.contains(vote) {
-                canvass.votes.push(*vote);
-            }
-        }
+        canvass.add(&consent.votes);
         self.next_at = if self.is_stale { self.next_at } else { now };
     }
 
--- a/crates/core/tests/explore/mod.rs
+++ b/crates/core/tests/explore/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses other parts")]
 
+pub mod region;
+
 use ebonypass_core::object::{Held, Read, Reply};
 use ebonypass_core::time::{Instant, Span};
 use proptest::prelude::*;
--- /dev/null
+++ b/crates/core/tests/explore/region.rs
@@ -0,0 +1,426 @@
+//! A region of VMs that hold seats and lend rate, with every fault that the design names.
+
+use std::collections::BTreeMap;
+
+use ebonypass_core::lease::{LEASE, Record};
+use ebonypass_core::object::{Read, Reply};
+use ebonypass_core::roster::{Incarnation, Listed, Process, Roster};
+use ebonypass_core::seat::{Action, Holder, Message, Seats};
+use ebonypass_core::share::{Backing, Borrow, Loan, Share};
+use ebonypass_core::time::{Instant, Span};
+use ebonypass_core::vote::{Consent, Extend, Promise, Vote};
+
+use crate::explore::{Clock, Store, Word, draw};
+
+const START: Instant = Instant::from_micros(1_000_000);
+pub const VMS: usize = 6;
+const SEAT_RATE: u64 = 1_000;
+
+/// A rule that the explorer breaks on purpose.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Broken {
+    Nothing,
+    /// Holders do not look at the end of their seats.
+    Expiry,
+    /// Takers count a consent of each seat.
+    Consents,
+    /// Lenders raise their rate as soon as they have sent the loan.
+    Raise,
+    /// Borrowers count the lifetime of a loan from its receipt.
+    Receipt,
+    /// Holders promise regardless of their consents and do not keep their promises.
+    Promises,
+}
+
+pub struct Vm {
+    pub name: String,
+    pub clock: Clock,
+    pub process: Process,
+    pub holder: Holder,
+    pub share: Share,
+    pub roster: Roster,
+    pub waits_for: Option<u64>,
+    pub is_paused: bool,
+    pub is_running: bool,
+    pub is_listed: bool,
+    /// Whether its calls do not reach the store.
+    pub is_cut_off: bool,
+    /// VMs of different sides do not reach each other.
+    pub side: bool,
+    /// Bytes a second that were borrowed, and until when by receipt.
+    pub received: (u64, Instant),
+}
+
+impl Vm {
+    pub fn new(number: usize, incarnation: u64, real: Instant, seats: usize) -> Vm {
+        let name = format!("entry-{number}");
+        let clock = Clock::new(number);
+        let process = Process { name: name.clone(), incarnation: Incarnation(incarnation) };
+        let mut holder = Holder::new(clock.read(real), process.clone(), seats);
+        holder.set_wanted(1);
+        let mut share = Share::new();
+        share.set_links([("geneva".to_owned(), SEAT_RATE)]);
+        let roster = Roster::new(&name, "zurich-1");
+        Vm {
+            name,
+            clock,
+            process,
+            holder,
+            share,
+            roster,
+            waits_for: None,
+            is_paused: false,
+            is_running: true,
+            is_listed: true,
+            is_cut_off: false,
+            side: false,
+            received: (0, Instant::ZERO),
+        }
+    }
+
+    pub fn backing(&self, now: Instant) -> Backing {
+        let (seats, until) = self.holder.in_force(now);
+        Backing { seats, until }
+    }
+
+    pub fn rate(&self, real: Instant, broken: Broken) -> u64 {
+        let now = self.clock.read(real);
+        let mut backing = self.backing(now);
+        if broken == Broken::Expiry {
+            backing = Backing { seats: self.holder.slots().len(), until: Instant::MAX };
+        }
+        let rate = self.share.rate(now, 0, backing).0.bytes_per_s;
+        match broken {
+            Broken::Raise => rate.max(backing.seats as u64 * SEAT_RATE),
+            Broken::Receipt if now < self.received.1 => rate.max(self.received.0),
+            _ => rate,
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+pub enum Letter {
+    Seat(Message),
+    Borrow(Borrow),
+    Loan(Loan),
+}
+
+#[derive(Debug, Clone)]
+pub enum Parcel {
+    Call { from: usize, call: u64, action: Action },
+    Read { to: usize, call: u64, read: Read<Seats> },
+    Write { to: usize, call: u64, reply: Reply },
+    Letter { to: usize, from: Process, letter: Letter },
+}
+
+/// How often the explorer saw what it is meant to reach.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Seen {
+    pub take_overs: u64,
+    /// Steps at which a seat was in force for longer than the store could have given it.
+    pub extensions: u64,
+    pub loans: u64,
+}
+
+pub struct World {
+    pub real: Instant,
+    pub seats: usize,
+    pub store: Store<Seats>,
+    pub vms: Vec<Vm>,
+    pub bag: Vec<Parcel>,
+    pub calls: u64,
+    pub broken: Broken,
+    pub seen: Seen,
+    /// When the store was last up.
+    pub up_at: Instant,
+}
+
+impl World {
+    pub fn new(broken: Broken, seats: usize) -> World {
+        World {
+            real: START,
+            seats,
+            store: Store::new(),
+            vms: (0..VMS).map(|number| Vm::new(number, 1, START, seats)).collect(),
+            bag: Vec::new(),
+            calls: 0,
+            broken,
+            seen: Seen::default(),
+            up_at: START,
+        }
+    }
+
+    pub fn step(&mut self, word: Word) {
+        let number = word.pick(VMS);
+        match word.op(80) {
+            0..=5 => self.real = self.real + word.span(Span::from_secs(12)),
+            6..=9 => self.real = self.real + Span::from_millis(1 + word.other(2_000) as u64),
+            10..=17 => self.poll(number),
+            18..=33 => self.round_trip(number),
+            34..=44 => {
+                if let Some(parcel) = draw(&mut self.bag, word) {
+                    self.deliver(parcel);
+                }
+            }
+            45..=46 => drop(draw(&mut self.bag, word)),
+            47 => {
+                if let Some(parcel) = draw(&mut self.bag, word) {
+                    self.bag.extend([parcel.clone(), parcel]);
+                }
+            }
+            48..=49 => self.time_out(number),
+            50..=53 => self.ask(number, word.other(VMS)),
+            54..=55 => self.list(number),
+            56 | 57 => self.vms[number].is_paused ^= true,
+            58 if word.other(2) == 0 => self.store.is_down ^= true,
+            59 if word.other(2) == 0 => self.restart(number),
+            60 if word.other(2) == 0 => self.stop(number),
+            61 => self.vms[number].is_listed &= self.vms[number].is_running,
+            62 if !self.vms[number].is_running => self.restart(number),
+            63 | 64 => self.vms[number].is_cut_off ^= true,
+            65 | 66 => self.vms[number].side ^= true,
+            67 => self.vms[number].holder.set_wanted(word.other(3)),
+            68.. => {
+                for _ in 0..=word.other(12) {
+                    self.calm(1);
+                    self.borrow(number, word.other(VMS));
+                }
+            }
+            _ => {}
+        }
+        if !self.store.is_down {
+            self.up_at = self.real;
+        }
+    }
+
+    pub fn restart(&mut self, number: usize) {
+        let incarnation = self.vms[number].process.incarnation.0 + 1;
+        self.vms[number] = Vm::new(number, incarnation, self.real, self.seats);
+    }
+
+    pub fn stop(&mut self, number: usize) {
+        self.vms[number].is_running = false;
+    }
+
+    pub fn is_awake(&self, number: usize) -> bool {
+        self.vms[number].is_running && !self.vms[number].is_paused
+    }
+
+    pub fn is_reached(&self, to: usize, from: &Process) -> bool {
+        let sender = self.vms.iter().find(|vm| vm.name == from.name);
+        self.is_awake(to) && sender.is_none_or(|sender| sender.side == self.vms[to].side)
+    }
+
+    pub fn poll(&mut self, number: usize) {
+        if !self.is_awake(number) {
+            return;
+        }
+        let vm = &mut self.vms[number];
+        let now = vm.clock.read(self.real);
+        vm.holder.keep_until(vm.share.lent_until());
+        while let Some(action) = vm.holder.next_action(now, &vm.roster) {
+            if let Action::Send { to, message } = action {
+                let to = to.strip_prefix("entry-").and_then(|to| to.parse().ok());
+                let letter = Letter::Seat(message);
+                let from = vm.process.clone();
+                self.bag.push(Parcel::Letter { to: to.expect("a number"), from, letter });
+            } else {
+                self.calls += 1;
+                vm.waits_for = Some(self.calls);
+                self.bag.push(Parcel::Call { from: number, call: self.calls, action });
+            }
+        }
+    }
+
+    /// A poll whose calls and letters are answered without delay or loss.
+    pub fn round_trip(&mut self, number: usize) {
+        for _ in 0..3 {
+            let before = self.bag.len();
+            self.poll(number);
+            self.empty(before);
+            self.real = self.real + Span::from_millis(1);
+        }
+    }
+
+    /// Some seconds in which no message is lost or late.
+    pub fn calm(&mut self, seconds: usize) {
+        for _ in 0..seconds {
+            self.real = self.real + Span::from_secs(1);
+            (0..VMS).for_each(|number| self.list(number));
+            (0..VMS).for_each(|number| self.round_trip(number));
+        }
+    }
+
+    pub fn time_out(&mut self, number: usize) {
+        if self.is_awake(number) && self.vms[number].waits_for.take().is_some() {
+            let now = self.vms[number].clock.read(self.real);
+            self.vms[number].holder.note_write(now, Reply::Silent);
+            self.vms[number].holder.note_read(now, Read::Silent);
+        }
+    }
+
+    pub fn list(&mut self, number: usize) {
+        if !self.is_awake(number) {
+            return;
+        }
+        let listed: Vec<String> =
+            self.vms.iter().filter(|vm| vm.is_listed).map(|vm| vm.name.clone()).collect();
+        let now = self.vms[number].clock.read(self.real);
+        let listed =
+            listed.iter().map(|name| Listed { name, data_centre: "zurich-1", leaving: false });
+        self.vms[number].roster.note_list(now, listed);
+    }
+
+    pub fn ask(&mut self, number: usize, lender: usize) {
+        if !self.is_awake(number) || number == lender {
+            return;
+        }
+        let vm = &mut self.vms[number];
+        let now = vm.clock.read(self.real);
+        let letter = Letter::Borrow(vm.share.ask(now, &format!("entry-{lender}"), 0, 700));
+        let from = vm.process.clone();
+        self.bag.push(Parcel::Letter { to: lender, from, letter });
+    }
+
+    /// A question for a loan that is answered without delay or loss.
+    pub fn borrow(&mut self, number: usize, lender: usize) {
+        let before = self.bag.len();
+        self.ask(number, lender);
+        self.empty(before);
+    }
+
+    /// Delivers all but the first `rest` parcels.
+    fn empty(&mut self, rest: usize) {
+        while self.bag.len() > rest {
+            let parcel = self.bag.pop().expect("a parcel");
+            self.deliver(parcel);
+        }
+    }
+
+    pub fn deliver(&mut self, parcel: Parcel) {
+        match parcel {
+            Parcel::Call { from: to, call, action } if self.vms[to].is_cut_off => {
+                self.bag.push(match action {
+                    Action::Write { .. } => Parcel::Write { to, call, reply: Reply::Silent },
+                    _ => Parcel::Read { to, call, read: Read::Silent },
+                });
+            }
+            Parcel::Call { from: to, call, action: Action::Write { if_version, seats } } => {
+                let before = self.store.value.clone();
+                let reply = self.store.put(if_version, seats);
+                if let (Reply::Written(_), Some(before), Some(after)) =
+                    (reply, before, &self.store.value)
+                {
+                    self.seen.take_overs += take_overs(&before, after);
+                }
+                self.bag.push(Parcel::Write { to, call, reply });
+            }
+            Parcel::Call { from: to, call, .. } => {
+                let read = self.store.get();
+                self.bag.push(Parcel::Read { to, call, read });
+            }
+            Parcel::Read { to, call, read } => {
+                if let Some((vm, now)) = self.waiting(to, call) {
+                    vm.holder.note_read(now, read);
+                }
+            }
+            Parcel::Write { to, call, reply } => {
+                if let Some((vm, now)) = self.waiting(to, call) {
+                    vm.holder.note_write(now, reply);
+                }
+            }
+            Parcel::Letter { to, from, letter } if self.is_reached(to, &from) => {
+                let answer = self.open(to, &from, letter);
+                let back = self.vms.iter().position(|vm| vm.process == from);
+                if let (Some(letter), Some(back)) = (answer, back) {
+                    let from = self.vms[to].process.clone();
+                    self.bag.push(Parcel::Letter { to: back, from, letter });
+                }
+            }
+            Parcel::Letter { .. } => {}
+        }
+    }
+
+    pub fn open(&mut self, to: usize, from: &Process, letter: Letter) -> Option<Letter> {
+        let broken = self.broken;
+        let vm = &mut self.vms[to];
+        let now = vm.clock.read(self.real);
+        match letter {
+            Letter::Seat(message) => {
+                if broken == Broken::Promises
+                    && let Message::Extend(Extend { round, .. }) = message
+                {
+                    let votes = vm.holder.slots().iter().map(|slot| slot.tenure);
+                    let votes = votes.map(|held| Vote { seat: held.seat, epoch: held.epoch });
+                    let promise = Promise { round, votes: votes.collect() };
+                    return Some(Letter::Seat(Message::Promise(promise)));
+                }
+                let answer = vm.holder.note_message(now, from, &message);
+                match message {
+                    Message::TakeOver(take_over) if broken == Broken::Consents => {
+                        let stored = self.store.value.as_ref()?.seats.iter().enumerate();
+                        let votes = stored
+                            .map(|(seat, stored)| Vote { seat: seat as u16, epoch: stored.epoch });
+                        let tenure = take_over.tenure;
+                        let consent = Consent { tenure, votes: votes.collect() };
+                        Some(Letter::Seat(Message::Consent(consent)))
+                    }
+                    _ => answer.map(Letter::Seat),
+                }
+            }
+            Letter::Borrow(borrow) => {
+                let backing = vm.backing(now);
+                vm.share.note_borrow(now, from, &borrow, backing, 0).map(Letter::Loan)
+            }
+            Letter::Loan(loan) => {
+                self.seen.loans += 1;
+                vm.share.note_loan(&from.name, &loan);
+                vm.received = (loan.bytes_per_s, now + loan.lifetime);
+                None
+            }
+        }
+    }
+
+    pub fn waiting(&mut self, to: usize, call: u64) -> Option<(&mut Vm, Instant)> {
+        let is_waiting = self.is_awake(to) && self.vms[to].waits_for == Some(call);
+        let vm = &mut self.vms[to];
+        let now = vm.clock.read(self.real);
+        is_waiting.then(|| vm.waits_for = None)?;
+        Some((vm, now))
+    }
+
+    /// Checks that each seat is in force once, and that the rates sum to no more than all seats.
+    pub fn check(&mut self) -> Result<(), String> {
+        let running = self.vms.iter().filter(|vm| vm.is_running);
+        let mut holders = BTreeMap::new();
+        for vm in running.clone() {
+            let now = vm.clock.read(self.real);
+            for slot in vm.holder.slots().iter().filter(|slot| now < slot.until) {
+                if let Some(other) = holders.insert(slot.tenure.seat, &vm.process) {
+                    return Err(format!(
+                        "rates in force: {:?} of {other} and {}",
+                        slot.tenure, vm.process
+                    ));
+                }
+            }
+        }
+        let rates: BTreeMap<String, u64> =
+            running.map(|vm| (vm.process.to_string(), vm.rate(self.real, self.broken))).collect();
+        if rates.values().sum::<u64>() > self.seats as u64 * SEAT_RATE {
+            return Err(format!("rates in force at {:?}: {rates:?}", self.real));
+        }
+        let is_sending = rates.values().any(|&rate| rate > 0);
+        self.seen.extensions +=
+            u64::from(is_sending && self.real.since(self.up_at) > LEASE.times(2));
+        Ok(())
+    }
+}
+
+/// Seats that went from one process to another.
+fn take_overs(before: &Seats, after: &Seats) -> u64 {
+    let pairs = before.seats.iter().zip(&after.seats);
+    let is_taken = |(before, after): &(&Record, &Record)| {
+        before.holder.is_some() && after.holder.is_some() && before.holder != after.holder
+    };
+    pairs.filter(is_taken).count() as u64
+}
