Keep idle processes off the store and check the stored list of seats

Cause: each process read the steward lease and the seats every 3 s, also without any part in them; at 6,100 nodes that alone would use up the store's 2,000 reads a second. The follower's wake-up time lay in the past while a fetch was under way. Ruled out: resizing the stored list of seats, because processes that have read lists of different lengths would hold shares that do not fit; a list of another length is refused. Conclusion: the number of seats of a region is fixed once its object exists.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -153,7 +153,7 @@
 
     /// The next store call, if one is due.
     pub fn next_action(&mut self, now: Instant) -> Option<Action> {
-        if !matches!(self.call, Call::None) || now < self.next_at {
+        if !matches!(self.call, Call::None) || now < self.next_at || !self.is_active() {
             return None;
         }
         let planned = if self.is_stale { None } else { self.plan(now) };
@@ -168,9 +168,9 @@
     }
 
     /// When [`Lease::next_action`] may next have something to do.
-    pub const fn wake_at(&self) -> Instant {
+    pub fn wake_at(&self) -> Instant {
         match self.call {
-            Call::None => self.next_at,
+            Call::None if self.is_active() => self.next_at,
             _ => Instant::MAX,
         }
     }
@@ -212,6 +212,14 @@
         }
     }
 
+    /// Whether the record concerns this process. Reads of a whole fleet would use up the store's
+    /// read rate.
+    fn is_active(&self) -> bool {
+        let record = self.seen.as_ref().and_then(|seen| seen.record.as_ref());
+        let is_own = record.is_some_and(|record| record.holder.as_ref() == Some(&self.own));
+        (self.is_candidate && !self.is_closing) || is_own || !self.attempts.is_empty()
+    }
+
     fn retry(&mut self, at: Instant) {
         self.is_stale = true;
         self.next_at = at;
--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -4,9 +4,9 @@
 
 use crate::lease::{LEASE, Record, TAKE_AFTER};
 use crate::roster::{Process, Roster};
-use crate::seat::{Action, EXTEND_BELOW, FRESH_READ, Holder, Message, ROUND_PAUSE, Seen};
+use crate::seat::{Action, EXTEND_BELOW, FRESH_READ, Holder, ROUND_PAUSE, Seen};
 use crate::time::Instant;
-use crate::vote::{Consent, Count, Extend, Promise, TakeOver, Tenure, Vote};
+use crate::vote::{Consent, Count, Extend, Message, Promise, TakeOver, Tenure, Vote};
 
 /// Questions for promises that are under way.
 #[derive(Debug)]
--- a/crates/core/src/seat.rs
+++ b/crates/core/src/seat.rs
@@ -35,7 +35,7 @@
 use crate::quorum::{Canvass, Round};
 use crate::roster::{Process, Roster};
 use crate::time::{Instant, Span};
-use crate::vote::{Book, Consent, Extend, Promise, TakeOver, Tenure};
+use crate::vote::{Book, Consent, Message, Promise, TakeOver, Tenure};
 
 /// Rest of a lease below which the holder asks for promises: one renewal has failed by then.
 pub const EXTEND_BELOW: Span = Span::from_secs(6);
@@ -46,6 +46,9 @@
 /// The age of the last answer of the store up to which a write may be conditional on it.
 pub const RECENT_READ: Span = Span::from_millis(200);
 
+/// The largest number of seats of a region. The stored list stays far below the 1 MB of a value.
+pub const SEATS_MAX: usize = 1_024;
+
 /// How recent the last answer of the store must be for a take-over.
 pub const FRESH_READ: Span = Span::from_secs(1);
 
@@ -56,19 +59,6 @@
     pub seats: Vec<Record>,
 }
 
-/// A frame between entries of one region.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Message {
-    /// A holder asks for promises.
-    Extend(Extend),
-    /// A promise.
-    Promise(Promise),
-    /// A process asks for consents.
-    TakeOver(TakeOver),
-    /// A consent.
-    Consent(Consent),
-}
-
 /// What to do next. The outcome of a store call goes to [`Holder::note_read`] or
 /// [`Holder::note_write`], exactly once; a call that is given up counts as silent, and its late
 /// answer is dropped.
@@ -207,7 +197,8 @@
         if !self.queue.is_empty() {
             return Instant::ZERO;
         }
-        let store = if matches!(self.call, Call::None) { self.next_at } else { Instant::MAX };
+        let is_idle = matches!(self.call, Call::None) && self.is_active();
+        let store = if is_idle { self.next_at } else { Instant::MAX };
         let ends = self.slots.iter().map(|slot| slot.until - EXTEND_BELOW).min();
         let paused = self.round.as_ref().map_or(Instant::ZERO, |round| round.start + ROUND_PAUSE);
         store.min(ends.map_or(Instant::MAX, |ends| ends.max(paused)))
@@ -257,12 +248,14 @@
         }
         self.call = Call::None;
         match read {
-            Read::Found(Held { version, value }) => self.see(now, version, value.seats),
+            Read::Found(Held { version, value }) if self.is_usable(&value) => {
+                self.see(now, version, value.seats);
+            }
             Read::Absent => {
                 let free = Record { holder: None, epoch: 0, renewal: 0 };
                 self.see(now, 0, vec![free; self.seats]);
             }
-            Read::Silent => return self.retry(now + SILENCE_PAUSE),
+            Read::Found(_) | Read::Silent => return self.retry(now + SILENCE_PAUSE),
         }
         self.is_stale = false;
         self.next_at = now;
@@ -289,11 +282,29 @@
         }
     }
 
+    /// Whether the stored seats concern this process: it wants one, or it or an earlier process of
+    /// its VM holds one. Reads of a whole fleet would use up the store's read rate.
+    fn is_active(&self) -> bool {
+        let Some(seen) = &self.seen else { return true };
+        let is_named = seen.seats.iter().any(|stored| {
+            stored.holder.as_ref().is_some_and(|holder| holder.name == self.own.name)
+        });
+        self.wanted > 0 || is_named || !self.attempts.is_empty()
+    }
+
     fn retry(&mut self, at: Instant) {
         self.is_stale = true;
         self.next_at = at;
     }
 
+    /// Whether the list has a sensible length, the same one as before: with another number of
+    /// seats the shares of processes that have read the old and the new list would not fit.
+    fn is_usable(&self, value: &Seats) -> bool {
+        let known = self.seen.as_ref().map(|seen| seen.seats.len());
+        let count = value.seats.len();
+        (1..=SEATS_MAX).contains(&count) && known.is_none_or(|known| known == count)
+    }
+
     /// Takes in the stored state.
     fn see(&mut self, now: Instant, version: u64, seats: Vec<Record>) {
         if self.seen.as_ref().is_some_and(|seen| version < seen.version) {
@@ -335,7 +346,7 @@
     }
 
     fn start_call(&mut self, now: Instant, roster: &Roster) {
-        if !matches!(self.call, Call::None) || now < self.next_at {
+        if !matches!(self.call, Call::None) || now < self.next_at || !self.is_active() {
             return;
         }
         let read_at = self.seen.as_ref().map_or(Instant::ZERO, |seen| seen.read_at);
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -252,8 +252,12 @@
         }
         if self.is_behind() {
             at = at.min((self.behind_since + BEHIND_PATIENCE).max(self.store.free_at()));
-            let calls = self.peers.iter().map(|peer| peer.call.free_at());
-            at = at.min(calls.min().unwrap_or(Instant::MAX));
+            // A fetch under way is waited for; peers without the version are not asked.
+            let useful = self.peers.iter().filter(|peer| peer.version >= self.seen);
+            let calls = useful.map(|peer| peer.call);
+            let busy = calls.clone().filter(|call| matches!(call, Call::Busy { .. }));
+            let next = busy.map(Call::free_at).max().or(calls.map(Call::free_at).min());
+            at = at.min(next.unwrap_or(Instant::MAX));
         }
         at
     }
--- a/crates/core/src/vote.rs
+++ b/crates/core/src/vote.rs
@@ -64,6 +64,19 @@
     pub votes: Vec<Vote>,
 }
 
+/// A frame between entries of one region.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// A holder asks for promises.
+    Extend(Extend),
+    /// A promise.
+    Promise(Promise),
+    /// A process asks for consents.
+    TakeOver(TakeOver),
+    /// A consent.
+    Consent(Consent),
+}
+
 /// What one process has promised and consented to.
 #[derive(Debug, Default)]
 pub(crate) struct Book {
--- a/crates/core/tests/explore/mod.rs
+++ b/crates/core/tests/explore/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses other parts")]
 
 pub mod region;
+pub mod vm;
 
 use ebonypass_core::object::{Held, Read, Reply};
 use ebonypass_core::time::{Instant, Span};
--- a/crates/core/tests/explore/region.rs
+++ b/crates/core/tests/explore/region.rs
@@ -4,99 +4,17 @@
 
 use ebonypass_core::lease::{LEASE, Record};
 use ebonypass_core::object::{Read, Reply};
-use ebonypass_core::roster::{Incarnation, Listed, Process, Roster};
-use ebonypass_core::seat::{Action, Holder, Message, Seats};
-use ebonypass_core::share::{Backing, Borrow, Loan, Share};
+use ebonypass_core::roster::{Listed, Process};
+use ebonypass_core::seat::{Action, Seats};
+use ebonypass_core::share::{Borrow, Loan};
 use ebonypass_core::time::{Instant, Span};
-use ebonypass_core::vote::{Consent, Extend, Promise, Vote};
+use ebonypass_core::vote::{Consent, Extend, Message, Promise, Vote};
 
-use crate::explore::{Clock, Store, Word, draw};
+use crate::explore::vm::{Broken, SEAT_RATE, Vm};
+use crate::explore::{Store, Word, draw};
 
 const START: Instant = Instant::from_micros(1_000_000);
 pub const VMS: usize = 6;
-const SEAT_RATE: u64 = 1_000;
-
-/// A rule that the explorer breaks on purpose.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Broken {
-    Nothing,
-    /// Holders do not look at the end of their seats.
-    Expiry,
-    /// Takers count a consent of each seat.
-    Consents,
-    /// Lenders raise their rate as soon as they have sent the loan.
-    Raise,
-    /// Borrowers count the lifetime of a loan from its receipt.
-    Receipt,
-    /// Holders promise regardless of their consents and do not keep their promises.
-    Promises,
-}
-
-pub struct Vm {
-    pub name: String,
-    pub clock: Clock,
-    pub process: Process,
-    pub holder: Holder,
-    pub share: Share,
-    pub roster: Roster,
-    pub waits_for: Option<u64>,
-    pub is_paused: bool,
-    pub is_running: bool,
-    pub is_listed: bool,
-    /// Whether its calls do not reach the store.
-    pub is_cut_off: bool,
-    /// VMs of different sides do not reach each other.
-    pub side: bool,
-    /// Bytes a second that were borrowed, and until when by receipt.
-    pub received: (u64, Instant),
-}
-
-impl Vm {
-    pub fn new(number: usize, incarnation: u64, real: Instant, seats: usize) -> Vm {
-        let name = format!("entry-{number}");
-        let clock = Clock::new(number);
-        let process = Process { name: name.clone(), incarnation: Incarnation(incarnation) };
-        let mut holder = Holder::new(clock.read(real), process.clone(), seats);
-        holder.set_wanted(1);
-        let mut share = Share::new();
-        share.set_links([("geneva".to_owned(), SEAT_RATE)]);
-        let roster = Roster::new(&name, "zurich-1");
-        Vm {
-            name,
-            clock,
-            process,
-            holder,
-            share,
-            roster,
-            waits_for: None,
-            is_paused: false,
-            is_running: true,
-            is_listed: true,
-            is_cut_off: false,
-            side: false,
-            received: (0, Instant::ZERO),
-        }
-    }
-
-    pub fn backing(&self, now: Instant) -> Backing {
-        let (seats, until) = self.holder.in_force(now);
-        Backing { seats, until }
-    }
-
-    pub fn rate(&self, real: Instant, broken: Broken) -> u64 {
-        let now = self.clock.read(real);
-        let mut backing = self.backing(now);
-        if broken == Broken::Expiry {
-            backing = Backing { seats: self.holder.slots().len(), until: Instant::MAX };
-        }
-        let rate = self.share.rate(now, 0, backing).0.bytes_per_s;
-        match broken {
-            Broken::Raise => rate.max(backing.seats as u64 * SEAT_RATE),
-            Broken::Receipt if now < self.received.1 => rate.max(self.received.0),
-            _ => rate,
-        }
-    }
-}
 
 #[derive(Debug, Clone)]
 pub enum Letter {
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -101,6 +101,14 @@
     assert_eq!(other.next_action(START), write(2, record(1, 2, 1)));
 }
 
+// Reads by every process would use up the store's read rate.
+#[test]
+fn only_candidates() {
+    let mut lease = Lease::new(process(0, 1));
+    assert_eq!(lease.next_action(START), None);
+    assert_eq!(lease.wake_at(), Instant::MAX);
+}
+
 // An effect of a former holder must not undo one of its successor.
 #[test]
 fn old_epochs() {
--- a/crates/core/tests/seat.rs
+++ b/crates/core/tests/seat.rs
@@ -2,10 +2,20 @@
 
 mod explore;
 
-use explore::region::{Broken, Seen, World};
+use ebonypass_core::seat::Seats;
+use explore::region::{Seen, World};
+use explore::vm::Broken;
 use explore::{Word, explore};
 use test_case::test_case;
 
+// The stored form is part of the interface to operators' tools.
+#[test]
+fn stored_form() {
+    let text = "[[seats]]\nholder = \"zurich-1-a.k3f9\"\nepoch = 7\nrenewal = 12\n";
+    let seats: Seats = toml::from_str(text).unwrap();
+    assert_eq!(toml::to_string(&seats).unwrap(), text);
+}
+
 const CASES: u32 = 600;
 const STEPS: usize = 500;
 
--- a/crates/core/tests/takeover.rs
+++ b/crates/core/tests/takeover.rs
@@ -3,7 +3,8 @@
 mod explore;
 
 use ebonypass_core::time::Span;
-use explore::region::{Broken, World};
+use explore::region::World;
+use explore::vm::Broken;
 
 /// `holders` VMs with a seat each; the others want none.
 fn region(holders: usize) -> World {
--- a/crates/core/tests/version.rs
+++ b/crates/core/tests/version.rs
@@ -90,6 +90,16 @@
     assert_eq!(actions(&mut follower, late), [fetch(PEER)]);
 }
 
+// A wake-up time in the past would keep a process busy while it waits for a fetch.
+#[test]
+fn wake_time() {
+    let mut follower = settled(false);
+    assert_eq!(follower.wake_at(), Instant::MAX);
+    follower.note_status(START, PEER, 6);
+    actions(&mut follower, START);
+    assert_eq!(follower.wake_at(), START + FETCH_TIMEOUT);
+}
+
 // Reads of every process would use up the store's read rate: only watchers watch.
 #[test]
 fn watchers_watch() {
