--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -50,6 +50,12 @@
         self.seeds = seeds.iter().map(|&seed| endpoint.link(None, seed)).collect();
     }
 
+    /// Bytes sent and received on the present connections to peers.
+    pub(crate) fn bytes(&self) -> u64 {
+        let ways = self.links.values().map(|way| &way.link);
+        ways.chain(&self.seeds).map(|link| link.bytes()).sum()
+    }
+
     /// Takes in the VM list: entries to connect to, and those that are leaving.
     pub(crate) fn note_vms(
         &mut self,
@@ -136,6 +142,21 @@
         self.follower.set_watcher(watchers.contains(&Some(self.roster.own())));
     }
 
+    /// The ways to the live entries of `data_centre`.
+    pub(crate) fn links_in(&self, now: Instant, data_centre: &str) -> Vec<Arc<Link>> {
+        let others = self.roster.live_in(now, data_centre);
+        others.filter_map(|entry| self.link(self.roster.name(entry))).collect()
+    }
+
+    /// The policy version that each live entry of `data_centre` has in force.
+    pub(crate) fn versions_in(&self, now: Instant, data_centre: &str) -> Vec<u64> {
+        let version = |entry| match entry == self.roster.own() {
+            true => self.follower.version(),
+            false => self.roster.version(entry),
+        };
+        self.roster.live_in(now, data_centre).map(version).collect()
+    }
+
     /// The way to the entry called `name`.
     pub(crate) fn link(&self, name: &str) -> Option<Arc<Link>> {
         self.links.get(name).map(|way| way.link.clone())
