--- a/crates/entry/src/gauge.rs
+++ b/crates/entry/src/gauge.rs
@@ -60,6 +60,10 @@
     pub(crate) vms: Gauge,
     pub(crate) peers: Gauge,
     pub(crate) peer_bytes: Gauge,
+    pub(crate) seats: Gauge,
+    pub(crate) link_rate: Gauge,
+    pub(crate) sent_afar: Counter,
+    pub(crate) steward: Gauge,
     pub(crate) limited: Family<LimitLabels, Counter>,
 }
 
@@ -84,6 +88,10 @@
             vms: Gauge::default(),
             peers: Gauge::default(),
             peer_bytes: Gauge::default(),
+            seats: Gauge::default(),
+            link_rate: Gauge::default(),
+            sent_afar: Counter::default(),
+            steward: Gauge::default(),
             limited: Family::default(),
         };
         let g = &gauges;
@@ -103,6 +111,10 @@
         r.register("forwarded", "Requests that peers forwarded here", g.forwarded.clone());
         r.register("claims", "Request keys held", g.claims.clone());
         r.register("vms", "VMs on the platform's list", g.vms.clone());
+        r.register("seats", "Seats in force", g.seats.clone());
+        r.register("link_rate_bytes", "Bytes a second on all links", g.link_rate.clone());
+        r.register("sent_afar", "Requests sent to other regions", g.sent_afar.clone());
+        r.register("steward", "1 while the steward lease is held", g.steward.clone());
         r.register("peers", "Peers that are live", g.peers.clone());
         r.register("peer_bytes", "Bytes of the present links to peers", g.peer_bytes.clone());
         r.register("limited", "Connections and requests ended by a limit", g.limited.clone());
