Take the demo's ports from below the range of outgoing connections

The port lay in 32768-60999, from which the system takes ports of outgoing connections, and was free when it was looked up. Ruled out: passing open sockets, which no program takes; trying again, which hides the collision. Change: standin-check ports draws from 10000-31999 and binds TCP and UDP. The rate after the change is not measured further. Conclusion: outgoing connections can no longer take a port in between.

--- a/crates/standin/src/bin/standin-check.rs
+++ b/crates/standin/src/bin/standin-check.rs
@@ -1,16 +1,24 @@
 //! Compares callers' reports with targets' records.
 
 use std::fs;
-use std::net::{TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use anyhow::{Context, anyhow};
+use anyhow::{Context, anyhow, ensure};
 use argh::FromArgs;
 use ebonypass_core::scan::scan_document;
 use ebonypass_standin::check::{Drained, Evidence, Finding};
 use ebonypass_standin::run::Run;
 
+/// Ports below the range from which Linux by default takes those of outgoing connections, and
+/// those of listeners that ask for any port. Ports of that range were taken between this program's
+/// end and the start of the process that was to listen there.
+const PORT_RANGE: std::ops::Range<u16> = 10_000..32_000;
+
+/// Ports that are tried.
+const MAX_TRIES: usize = 100_000;
+
 /// Compare callers' reports with targets' records, or find free ports.
 #[derive(FromArgs)]
 struct Arguments {
@@ -117,12 +125,15 @@
 fn run_ports(count: usize) -> anyhow::Result<ExitCode> {
     // All are held until the last one is found, so that no port is found twice.
     let mut held: Vec<(TcpListener, UdpSocket)> = Vec::new();
-    while held.len() < count {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        if let Ok(socket) = UdpSocket::bind(listener.local_addr()?) {
-            held.push((listener, socket));
+    for _ in 0..MAX_TRIES {
+        if held.len() == count {
+            break;
         }
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, fastrand::u16(PORT_RANGE)));
+        let pair = TcpListener::bind(address).and_then(|tcp| Ok((tcp, UdpSocket::bind(address)?)));
+        held.extend(pair);
     }
+    ensure!(held.len() == count, "only {} free ports were found", held.len());
     for (listener, _) in &held {
         println!("{}", listener.local_addr()?.port());
     }
