Bound what callers can make an entry hold, and test the program

Cause: the HTTP library has no limit on the time to send a request or to read a reply, closes without a reply when a head is too long, and takes HTTP/2 without the limits of HTTP/1.1. Ruled out: treating a half-closed connection as a caller that has gone (it cannot be told from one that still reads; the deadline bounds the work). Change: guard (callers, head, time, idle, stall), bytes of bodies held at once, refusals with outcome not-run, counted, and logged at each power of two; tests of the program: settings, certificate, help, SIGTERM. Heads that the library itself finds malformed get its plain 400 without outcome headers.

--- a/crates/entry/src/gauge.rs
+++ b/crates/entry/src/gauge.rs
@@ -37,7 +37,7 @@
 /// Which limit ended a connection or a request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct LimitLabels {
-    /// `callers`, `head`, `idle`, `body` or `held`.
+    /// `callers`, `head`, `time`, `idle`, `stall`, `body` or `held`.
     pub(crate) limit: &'static str,
 }
 
@@ -63,6 +63,7 @@
     pub(crate) sent_afar: Counter,
     pub(crate) steward: Gauge,
     pub(crate) limited: Family<LimitLabels, Counter>,
+    pub(crate) held_bytes: Gauge,
 }
 
 impl Gauges {
@@ -89,6 +90,7 @@
             sent_afar: Counter::default(),
             steward: Gauge::default(),
             limited: Family::default(),
+            held_bytes: Gauge::default(),
         };
         let g = &gauges;
         let mut at = registry.sub_registry_with_prefix("ebonypass");
@@ -111,6 +113,7 @@
         r.register("sent_afar", "Requests sent to other regions", g.sent_afar.clone());
         r.register("steward", "1 while the steward lease is held", g.steward.clone());
         r.register("peers", "Peers that are live", g.peers.clone());
+        r.register("held_bytes", "Bytes of requests' bodies held", g.held_bytes.clone());
         r.register("limited", "Connections and requests ended by a limit", g.limited.clone());
         gauges
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 mod driver;
 mod forward;
 mod gauge;
+mod guard;
 mod lookup;
 mod members;
 mod mesh;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -26,7 +26,9 @@
     let settings: Settings = match settings::load(&arguments.settings) {
         Ok(settings) => settings,
         Err(fault) => {
-            eprintln!("ebonypass-entry: {fault}");
+            // There is no log before the settings are known.
+            let event = Event::BadSetting;
+            eprintln!("ebonypass-entry: E{} {}: {fault}", event.number(), event.text());
             return ExitCode::from(2);
         }
     };
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -1,6 +1,7 @@
 //! Replies to callers.
 
 use ebonypass_core::outcome::{Outcome, Reason};
+use ebonypass_node::event::{Event, note};
 use ebonypass_node::target::{Body, Reply};
 use futures_lite::AsyncRead;
 use trillium::{Conn, Status};
@@ -18,7 +19,12 @@
 /// A reply without an answer: `reason` and its outcome, with `status`.
 pub(crate) fn refuse(conn: Conn, gauges: &Gauges, status: Status, reason: Reason) -> Conn {
     let outcome = reason.outcome().as_str();
-    gauges.replies.get_or_create(&ReplyLabels { outcome, code: reason.code() }).inc();
+    let count = gauges.replies.get_or_create(&ReplyLabels { outcome, code: reason.code() }).inc();
+    // Faults of the caller are logged at each power of two, so that a faulty caller does not fill
+    // the log.
+    if status.is_client_error() && (count + 1).is_power_of_two() {
+        note(Event::CallerRefused, format_args!("{reason}, {} so far", count + 1));
+    }
     conn.with_status(status)
         .with_response_header(OUTCOME, outcome)
         .with_response_header(CODE, format!("EP-{:04}", reason.code()))
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -23,7 +23,7 @@
 use crate::claim::{Refusal, claim, settle};
 use crate::driver::Answer;
 use crate::forward::{Parcel, Rest, forward};
-use crate::gauge::{Gauges, ServiceLabels};
+use crate::gauge::{Gauges, LimitLabels, ServiceLabels};
 use crate::reply::{PRIOR, answer, refuse, run_status};
 use crate::state::Entry;
 use crate::view::{Terms, View, scan_block};
@@ -47,6 +47,29 @@
     }
 }
 
+/// Room for a body among the bytes that are held.
+struct Held {
+    bytes: Gauge,
+    length: i64,
+}
+
+impl Held {
+    /// Room for `length` bytes, if no more than `limit` are held then.
+    fn new(gauges: &Gauges, length: usize, limit: usize) -> Option<Held> {
+        let bytes = gauges.held_bytes.clone();
+        let length = length as i64;
+        let before = bytes.inc_by(length);
+        let held = Held { bytes, length };
+        (before + length <= limit as i64).then_some(held)
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.bytes.dec_by(self.length);
+    }
+}
+
 /// A caller's request, read and checked.
 struct Call {
     terms: Terms,
@@ -60,6 +83,7 @@
     deadline: Instant,
     key: Option<String>,
     trace: Context,
+    _held: Held,
 }
 
 impl<S: Store, T: Target> Handler for Run<S, T> {
@@ -69,7 +93,9 @@
         let context = Context::from_header(conn.request_headers().get_str(trace::HEADER));
         let span = TraceSpan::new(context, "entry");
         let service = conn.param("service").unwrap_or_default().to_owned();
-        let result = match self.read(&mut conn, span.context()).await {
+        let call = self.read(&mut conn, span.context()).await;
+        let is_read = call.is_ok() || conn.request_headers().content_length() == Some(0);
+        let result = match call {
             Ok(call) => self.claim(&call).await,
             Err(reason) => Ok(Answer::Failed(reason)),
         };
@@ -94,7 +120,12 @@
             let latency = self.0.gauges.latency.get_or_create(&ServiceLabels { service });
             latency.observe(start.elapsed().as_secs_f64());
         }
-        if self.0.is_leaving() { conn.with_response_header("connection", "close") } else { conn }
+        // A refused body may not have been read, so the next request could not be found.
+        if self.0.is_leaving() || !is_read {
+            conn.with_response_header("connection", "close")
+        } else {
+            conn
+        }
     }
 }
 
@@ -118,18 +149,65 @@
             return Err(Reason::KeyMissing);
         }
         let content_type = headers.get_str(KnownHeaderName::ContentType).map(str::to_owned);
-        let limit = self.0.settings.limits.body_bytes;
-        let length = headers.get_str(KnownHeaderName::ContentLength);
-        if length.is_some_and(|text| text.parse().map_or(true, |length: usize| length > limit)) {
-            return Err(Reason::BodyTooLarge);
-        }
-        let body = conn.request_body().with_max_len(limit as u64).read_bytes().await;
-        let body = body.map_err(|_| Reason::BodyTooLarge)?;
+        let length = headers.get_str(KnownHeaderName::ContentLength).map(str::to_owned);
+        let (held, body) = self.read_body(conn, length.as_deref()).await?;
         let idempotent = terms.idempotent;
         let request = Arc::new(Request { service, kind, idempotent, body, content_type });
         let region = view.region_of(&self.0.settings.data_centre);
         let deadline = clock::now() + deadline;
-        Ok(Call { terms, member, request, view, region, client_region, deadline, key, trace })
+        let _held = held;
+        Ok(Call {
+            terms,
+            member,
+            request,
+            view,
+            region,
+            client_region,
+            deadline,
+            key,
+            trace,
+            _held,
+        })
+    }
+
+    /// Reads a body, once there is room for it among the bytes that are held.
+    async fn read_body(
+        &self,
+        conn: &mut Conn,
+        length: Option<&str>,
+    ) -> Result<(Held, Vec<u8>), Reason> {
+        let gauges = &self.0.gauges;
+        let limits = &self.0.settings.limits;
+        let limit = limits.body_bytes;
+        let count = |limit| gauges.limited.get_or_create(&LimitLabels { limit }).inc();
+        let chunked = conn.request_headers().has_header(KnownHeaderName::TransferEncoding);
+        let length = match length {
+            // Bodies in chunks tell no length, so room for the largest one is kept.
+            None if chunked => limit,
+            None => 0,
+            Some(text) => text.parse().map_err(|_| Reason::HeadMalformed)?,
+        };
+        if length > limit {
+            count("body");
+            return Err(Reason::BodyTooLarge);
+        }
+        let held = Held::new(gauges, length, limits.held_bytes).ok_or_else(|| {
+            count("held");
+            Reason::QueueFull
+        })?;
+        let body = conn.request_body().with_max_len(limit as u64).read_bytes().await;
+        let body = body.map_err(|error| match error {
+            trillium::Error::ReceivedBodyTooLong(_) => {
+                count("body");
+                Reason::BodyTooLarge
+            }
+            _ if chunked => {
+                count("body");
+                Reason::BodyTooLarge
+            }
+            _ => Reason::HeadMalformed,
+        })?;
+        Ok((held, body))
     }
 
     fn scan_deadline(&self, text: &str) -> Result<Span, Reason> {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -20,10 +20,11 @@
 use trillium_server_common::ServerHandle;
 
 use crate::gauge::Gauges;
+use crate::guard::Gate;
 use crate::lookup::Lookup;
 use crate::mesh::Mesh;
 use crate::run::Run;
-use crate::settings::Settings;
+use crate::settings::{Limits, Settings};
 use crate::state::Entry;
 use crate::{afar, policy, seats, steward, tasks};
 
@@ -33,6 +34,15 @@
 /// Time between two closings of idle connections to targets.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Limits on the connections of operators. Metrics are read by few programs.
+const ADMIN_LIMITS: Limits = Limits {
+    head_bytes: 16 * 1024,
+    callers: 64,
+    head_timeout_ms: 5_000,
+    idle_timeout_ms: 60_000,
+    ..Limits::DEFAULT
+};
+
 type State = Entry<store::Http, target::Http>;
 
 /// A running entry.
@@ -62,12 +72,15 @@
         let (settings, limits) = (&entry.settings, &entry.settings.limits);
         let endpoint = bind_peers(&entry, &identity)?;
         let config = HttpConfig::default()
-            .with_head_max_len(limits.head_bytes)
+            // The guard refuses longer heads with a reply; the library's limit counts from another
+            // start and must not come first.
+            .with_head_max_len(limits.head_bytes + 1_024)
             .with_received_body_max_len(limits.body_bytes as u64);
         let router = Router::new()
             .get("/v1/lookup", Lookup(entry.clone()))
             .post("/v1/run/:service/:kind", Run(entry.clone()));
-        let (callers, caller_address) = serve(settings.caller_listen, config, router)?;
+        let gate = Gate::new(*limits, entry.gauges.clone());
+        let (callers, caller_address) = serve(settings.caller_listen, config, gate, router)?;
         let health = {
             let entry = entry.clone();
             move |conn: Conn| {
@@ -76,7 +89,9 @@
             }
         };
         let router = Router::new().get("/metrics", Page::new(registry)).get("/health", health);
-        let (admin, admin_address) = serve(settings.admin_listen, HttpConfig::default(), router)?;
+        let gate = Gate::new(ADMIN_LIMITS, entry.gauges.clone());
+        let (admin, admin_address) =
+            serve(settings.admin_listen, HttpConfig::default(), gate, router)?;
         let _ = entry.caller_address.set(caller_address);
         let mesh = Arc::new(Mesh(entry.clone()));
         let tasks = vec![
@@ -174,6 +189,7 @@
 fn serve(
     address: SocketAddr,
     config: HttpConfig,
+    gate: Gate,
     handler: impl Handler,
 ) -> io::Result<(ServerHandle, SocketAddr)> {
     let listener = TcpListener::bind(address)?;
@@ -185,6 +201,7 @@
         .with_nodelay()
         .with_http_config(config)
         .with_prebound_server(listener)
+        .with_acceptor(gate)
         .spawn(handler);
     Ok((handle, address))
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -43,7 +43,7 @@
     pub head_bytes: usize,
     /// The largest body of a request, in bytes.
     pub body_bytes: usize,
-    /// Bytes of bodies and replies that are held at once.
+    /// Bytes of requests' bodies that are held at once.
     pub held_bytes: usize,
     /// Connections of callers at once.
     pub callers: usize,
@@ -62,20 +62,25 @@
     pub stop_ms: u64,
 }
 
+impl Limits {
+    /// The limits that apply when the settings give none.
+    pub const DEFAULT: Limits = Limits {
+        head_bytes: 16 * 1024,
+        body_bytes: 1024 * 1024,
+        held_bytes: 64 * 1024 * 1024,
+        callers: 4_096,
+        keys: 500_000,
+        head_timeout_ms: 5_000,
+        idle_timeout_ms: 60_000,
+        deadline_ms: 600_000,
+        leave_ms: 6_000,
+        stop_ms: 600_000,
+    };
+}
+
 impl Default for Limits {
     fn default() -> Limits {
-        Limits {
-            head_bytes: 16 * 1024,
-            body_bytes: 1024 * 1024,
-            held_bytes: 64 * 1024 * 1024,
-            callers: 4_096,
-            keys: 500_000,
-            head_timeout_ms: 5_000,
-            idle_timeout_ms: 60_000,
-            deadline_ms: 600_000,
-            leave_ms: 6_000,
-            stop_ms: 600_000,
-        }
+        Limits::DEFAULT
     }
 }
 
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -160,7 +160,12 @@
                 note(Event::TargetLeaving, format_args!("{address} says so"));
             }
         }
-        None => drop(entry.gauges.load_failures.inc()),
+        None => {
+            let failures = entry.gauges.load_failures.inc() + 1;
+            if failures.is_power_of_two() {
+                note(Event::LoadLost, format_args!("{address}, {failures} so far"));
+            }
+        }
     }
 }
 
--- /dev/null
+++ b/crates/entry/tests/process.rs
@@ -0,0 +1,122 @@
+//! The program as its operators see it.
+
+mod fake;
+
+use std::io::Read;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use fake::{Folder, POLICY, Store, Target, call, run, wait_until};
+use test_case::test_case;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_ebonypass-entry");
+
+fn spawn(arguments: &[&str]) -> Child {
+    let command = Command::new(PROGRAM).args(arguments).stderr(Stdio::piped()).spawn();
+    command.expect("spawn")
+}
+
+/// Waits for the end and gives the exit code and the standard error stream.
+fn end(mut child: Child) -> (Option<i32>, String) {
+    let start = Instant::now();
+    loop {
+        if let Some(status) = child.try_wait().expect("wait") {
+            let mut text = String::new();
+            child.stderr.take().expect("stderr").read_to_string(&mut text).expect("text");
+            return (status.code(), text);
+        }
+        if start.elapsed() > Duration::from_secs(15) {
+            child.kill().expect("kill");
+            panic!("the process does not end");
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn unused_port() -> u16 {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+    listener.local_addr().expect("address").port()
+}
+
+/// A bad setting stops the process at once, with the field's name.
+#[test_case("caller_listen = \"127.0.0.1:0\"", "caller_listen = \"here\"", "caller_listen"; "address")]
+#[test_case("data_centre", "data_center", "data_center"; "unknown field")]
+#[test_case("zurich-1-a.key", "other.key", "tls.key"; "no key")]
+fn bad_setting(from: &str, to: &str, field: &str) {
+    let folder = Folder::new("bad-setting");
+    let store = "127.0.0.1:6000".parse().expect("address");
+    let text = folder.settings("zurich-1-a", "zurich-1", store, "");
+    assert!(text.contains(from));
+    let path = folder.path.join("entry.toml");
+    std::fs::write(&path, text.replacen(from, to, 1)).expect("write");
+    let (code, text) = end(spawn(&[path.to_str().expect("path")]));
+    assert_eq!(code, Some(2), "{text}");
+    assert!(text.contains(&format!("E103 bad setting: setting {field}:")), "{text}");
+}
+
+/// A certificate of another name stops the process: peers would refuse it.
+#[test]
+fn other_certificate() {
+    let folder = Folder::new("other-certificate");
+    let store = "127.0.0.1:6000".parse().expect("address");
+    let text = folder.settings("zurich-1-a", "zurich-1", store, "");
+    let path = folder.path.join("entry.toml");
+    std::fs::write(&path, text.replacen("name = \"zurich-1-a\"", "name = \"zurich-1-b\"", 1))
+        .expect("write");
+    let (code, text) = end(spawn(&[path.to_str().expect("path")]));
+    assert_eq!(code, Some(1), "{text}");
+    assert!(text.contains("the certificate is for zurich-1-a"), "{text}");
+}
+
+/// `--help` and `--check` end with 0 and serve nothing.
+#[test]
+fn short_runs() {
+    let folder = Folder::new("short-runs");
+    let store = "127.0.0.1:6000".parse().expect("address");
+    let path = folder.path.join("entry.toml");
+    let text = folder.settings("zurich-1-a", "zurich-1", store, "");
+    std::fs::write(&path, text).expect("write");
+    assert_eq!(end(spawn(&["--help"])).0, Some(0));
+    assert_eq!(end(spawn(&["--check", path.to_str().expect("path")])).0, Some(0));
+}
+
+/// SIGTERM ends the process with 0 after the request in flight has been answered, and the log has
+/// the numbered events.
+#[test]
+fn sigterm_ends() {
+    let folder = Folder::new("sigterm");
+    let (store, target) = (Store::new(), Target::echo("rounds-zurich-1-01"));
+    store.set_policy(7, POLICY);
+    store.set_vms(vec![target.vm("live")]);
+    let more = "[log]\nfile = \"entry.log\"\n[limits]\nleave_ms = 300\n";
+    let text = folder.settings("zurich-1-a", "zurich-1", store.address, more);
+    let address = format!("127.0.0.1:{}", unused_port());
+    let text = text.replacen("127.0.0.1:0", &address, 1);
+    let path = folder.path.join("entry.toml");
+    std::fs::write(&path, text).expect("write");
+    let child = spawn(&[path.to_str().expect("path")]);
+    let address = address.parse().expect("address");
+    wait_until("serving", || {
+        call(address, "POST", "/v1/run/rounds/lookup", fake::HEADERS, b"x")
+            .is_some_and(|got| got.status == 200)
+    });
+    target.set_delay(Duration::from_millis(700));
+    let before = target.runs().len();
+    let request = std::thread::spawn(move || run(address, b"last").summary());
+    wait_until("work in flight", || target.runs().len() > before);
+    let id = child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+    assert_eq!(request.join().expect("thread"), "200 answered");
+    let (code, text) = end(child);
+    assert_eq!(code, Some(0), "{text}");
+    let log = std::fs::read_to_string(folder.path.join("entry.log")).expect("log");
+    for event in [
+        "E100 started",
+        "E200 policy in force",
+        "E500 target added",
+        "E101 stopping",
+        "E102 stopped",
+    ] {
+        assert!(log.contains(event), "{event} is not in:\n{log}");
+    }
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -61,8 +61,6 @@
     StoreFound = 203 Info "store reachable",
     /// An object of the store is not readable.
     ObjectMalformed = 204 Warn "object not readable",
-    /// An older policy document was offered and refused.
-    PolicyOlder = 205 Warn "older policy refused",
 
     /// Certificate and key were read again.
     CertificateLoaded = 300 Info "certificate loaded",
