--- a/crates/core/src/cost.rs
+++ b/crates/core/src/cost.rs
@@ -35,6 +35,9 @@
 /// a kind near the limit from changing sides on each sample.
 const STILL_LONG_RATIO: u64 = 6;
 
+/// The shortest time that the clock shows.
+const CLOCK_STEP: Span = Span::from_micros(1);
+
 /// What is known of one kind.
 #[derive(Debug)]
 pub(crate) struct Cost {
@@ -69,6 +72,11 @@
         self.count >= KNOWN_SAMPLES
     }
 
+    /// Whether enough attempts were seen to compare single ones with the mean.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.count >= QUANTILE_SAMPLES
+    }
+
     /// Whether the kind counts against the limit on long kinds. An unknown kind does.
     pub(crate) fn is_long(&self) -> bool {
         self.is_long
@@ -199,7 +207,8 @@
             } else {
                 LONG_RATIO
             };
-            cost.is_long = !cost.is_known() || cost.mean >= self.shortest.times(ratio);
+            cost.is_long =
+                !cost.is_known() || cost.mean >= self.shortest.max(CLOCK_STEP).times(ratio);
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod share;
 pub mod shift;
 pub mod submission;
+mod suspect;
 pub mod text;
 pub mod time;
 mod timer;
--- a/crates/entry/src/gauge.rs
+++ b/crates/entry/src/gauge.rs
@@ -57,11 +57,13 @@
     pub(crate) in_flight: Gauge,
     pub(crate) forwarded: Counter,
     pub(crate) claims: Gauge,
+    pub(crate) vms: Gauge,
     pub(crate) peers: Gauge,
     pub(crate) seats: Gauge,
     pub(crate) link_rate: Gauge,
     pub(crate) sent_afar: Counter,
     pub(crate) steward: Gauge,
+    pub(crate) peer_bytes: Gauge,
     pub(crate) limited: Family<LimitLabels, Counter>,
     pub(crate) held_bytes: Gauge,
 }
@@ -84,11 +86,13 @@
             in_flight: Gauge::default(),
             forwarded: Counter::default(),
             claims: Gauge::default(),
+            vms: Gauge::default(),
             peers: Gauge::default(),
             seats: Gauge::default(),
             link_rate: Gauge::default(),
             sent_afar: Counter::default(),
             steward: Gauge::default(),
+            peer_bytes: Gauge::default(),
             limited: Family::default(),
             held_bytes: Gauge::default(),
         };
@@ -114,6 +118,8 @@
         r.register("steward", "1 while the steward lease is held", g.steward.clone());
         r.register("peers", "Peers that are live", g.peers.clone());
         r.register("held_bytes", "Bytes of requests' bodies held", g.held_bytes.clone());
+        r.register("vms", "VMs on the platform's list", g.vms.clone());
+        r.register("peer_bytes", "Bytes of the present links to peers", g.peer_bytes.clone());
         r.register("limited", "Connections and requests ended by a limit", g.limited.clone());
         gauges
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 mod afar;
 mod border;
 mod claim;
+mod delegate;
 mod driver;
 mod forward;
 mod gauge;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -26,7 +26,7 @@
 use crate::run::Run;
 use crate::settings::{Limits, Settings};
 use crate::state::Entry;
-use crate::{afar, policy, seats, steward, tasks};
+use crate::{afar, delegate, policy, seats, steward, tasks};
 
 /// Time between two looks at the work in flight of a stopping process.
 const STOP_INTERVAL: Duration = Duration::from_millis(20);
@@ -107,7 +107,7 @@
             smol::spawn(afar::ask(entry.clone())),
             smol::spawn(afar::follow_plan(entry.clone())),
             smol::spawn(steward::hold(entry.clone())),
-            smol::spawn(tasks::poll_vms(entry.clone())),
+            smol::spawn(delegate::run(entry.clone())),
             smol::spawn(tasks::poll_loads(entry.clone())),
         ];
         note(Event::Started, format_args!("{} callers {caller_address}", entry.process));
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -27,30 +27,16 @@
 /// Time between two warnings about a certificate that expires.
 const WARN_INTERVAL: Duration = Duration::from_secs(6 * 3_600);
 
-/// Time between two readings of the VM list.
-const VM_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Time between two readings of a target's load.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Follows the VM list.
-pub(crate) async fn poll_vms<S: Store, T: Target>(entry: Arc<Entry<S, T>>) {
-    loop {
-        match entry.store.vms().await {
-            Ok(vms) => note_vms(&entry, vms),
-            Err(_) => entry.note_store(false),
-        }
-        // Planned drains begin and end by the clock, also while the list cannot be read.
-        refresh_targets(&entry);
-        Timer::after(VM_INTERVAL).await;
-    }
-}
-
-fn note_vms<S: Store, T: Target>(entry: &Entry<S, T>, vms: Vec<Vm>) {
+/// Takes in a VM list.
+pub(crate) fn note_vms<S: Store, T: Target>(entry: &Entry<S, T>, vms: Vec<Vm>) {
     let view = entry.view.load();
     if let Some(endpoint) = entry.endpoint.get() {
         lock(&entry.members).note_vms(clock::now(), endpoint, &vms, view.as_deref());
     }
+    entry.gauges.vms.set(vms.len() as i64);
     entry.vms.store(Arc::new(vms));
 }
 
@@ -104,6 +90,7 @@
     members.send_status(entry.is_leaving(), pools, entry.afar.epoch());
     let live = members.roster.ready(clock::now()).count().saturating_sub(1);
     entry.gauges.peers.set(live as i64);
+    entry.gauges.peer_bytes.set(members.bytes() as i64);
 }
 
 /// The pools that this entry owns.
