State the outcome of every refusal, and keep seats until a stop has ended

Cause: the library's own 400 replies and unknown paths had no outcome, and a leaving entry gave its seats back while replies to other regions still needed them. Ruled out: releasing when leaving starts (replies would stall); not releasing (other entries wait for the leases to end). Change: the guard replaces bare refusals, other paths answer 404 not-run, seats are released when the last request has ended, which takes up to 3.5 s because seats are written every 3 s. Conclusion: each reply to a caller has ebonypass-outcome.

--- a/crates/entry/src/border.rs
+++ b/crates/entry/src/border.rs
@@ -92,13 +92,13 @@
         now: Instant,
         roster: &Roster,
         entries: usize,
-        is_leaving: bool,
+        is_closing: bool,
     ) -> Option<Action> {
         let mut guard = lock(&self.inner);
         let inner = guard.as_mut()?;
         // The survivors of a lost entry take its seat over.
         let fair = inner.holder.seats().div_ceil(entries.max(1));
-        inner.holder.set_wanted(if is_leaving { 0 } else { fair });
+        inner.holder.set_wanted(if is_closing { 0 } else { fair });
         let action = inner.holder.next_action(now, roster);
         inner.set_rates(now);
         action
--- a/crates/entry/src/gauge.rs
+++ b/crates/entry/src/gauge.rs
@@ -37,7 +37,7 @@
 /// Which limit ended a connection or a request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct LimitLabels {
-    /// `callers`, `head`, `time`, `idle`, `stall`, `body` or `held`.
+    /// `callers`, `head`, `malformed`, `time`, `idle`, `stall`, `body` or `held`.
     pub(crate) limit: &'static str,
 }
 
--- a/crates/entry/src/guard.rs
+++ b/crates/entry/src/guard.rs
@@ -21,6 +21,7 @@
 use trillium_server_common::Acceptor;
 
 use crate::gauge::{Gauges, LimitLabels};
+use crate::reply::OUTCOME;
 use crate::settings::Limits;
 
 /// The end of a head.
@@ -35,11 +36,18 @@
     limits: Limits,
     gauges: Gauges,
     open: Arc<AtomicUsize>,
+    /// Whether each reply has to state its outcome.
+    has_outcomes: bool,
 }
 
 impl Gate {
     pub(crate) fn new(limits: Limits, gauges: Gauges) -> Gate {
-        Gate { limits, gauges, open: Arc::default() }
+        Gate { limits, gauges, open: Arc::default(), has_outcomes: false }
+    }
+
+    /// Replaces the library's own refusals, which do not state their outcome.
+    pub(crate) fn with_outcomes(self) -> Gate {
+        Gate { has_outcomes: true, ..self }
     }
 
     fn count(&self, limit: &'static str, peer: Option<SocketAddr>) {
@@ -99,6 +107,14 @@
     )
 }
 
+/// Whether `bytes` are the start of a refusal that the library makes of a malformed head. Replies of
+/// the handlers state their outcome.
+fn is_bare_refusal(bytes: &[u8]) -> bool {
+    let outcome = OUTCOME.as_bytes();
+    bytes.starts_with(b"HTTP/1.1 4")
+        && !bytes.windows(outcome.len()).any(|part| part.eq_ignore_ascii_case(outcome))
+}
+
 /// What a connection is waiting for.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Phase {
@@ -248,8 +264,13 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        if self.gate.has_outcomes && is_bare_refusal(bytes) {
+            self.refuse("malformed", "400 Bad Request");
+        }
         if self.phase == Phase::Refused {
-            return Poll::Ready(Err(ErrorKind::BrokenPipe.into()));
+            // The refusal stands in for what the library writes.
+            ready!(self.poll_refusal(context))?;
+            return Poll::Ready(Ok(bytes.len()));
         }
         match Pin::new(&mut self.stream).poll_write(context, bytes) {
             Poll::Pending => {
--- a/crates/entry/src/seats.rs
+++ b/crates/entry/src/seats.rs
@@ -1,6 +1,7 @@
 //! Carries out what [`ebonypass_core::seat`] decides: store calls, frames and loans.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use ebonypass_core::object::{Held, Read, Reply};
@@ -45,7 +46,9 @@
         let now = clock::now();
         let members = lock(&entry.members);
         let entries = members.near(now, entry.view.load().as_deref(), &region);
-        let action = entry.border.next_action(now, &members.roster, entries, entry.is_leaving());
+        // Replies that a leaving process still has to send need its seats.
+        let is_closing = entry.closing.load(Ordering::Relaxed);
+        let action = entry.border.next_action(now, &members.roster, entries, is_closing);
         let Some(action) = action else { return };
         match action {
             Action::Read => smol::spawn(read(entry.clone(), region.clone())).detach(),
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -6,13 +6,14 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant, SystemTime};
 
+use ebonypass_core::outcome::Reason;
 use ebonypass_node::event::{Event, note};
 use ebonypass_node::metric::Page;
 use ebonypass_node::peer::Endpoint;
 use ebonypass_node::sync::lock;
 use ebonypass_node::tls::Identity;
 use ebonypass_node::wire::{Hello, PROTOCOL};
-use ebonypass_node::{store, target};
+use ebonypass_node::{clock, store, target};
 use prometheus_client::registry::Registry;
 use smol::Timer;
 use trillium::{Conn, Handler, HttpConfig, Status};
@@ -23,6 +24,7 @@
 use crate::guard::Gate;
 use crate::lookup::Lookup;
 use crate::mesh::Mesh;
+use crate::reply::refuse;
 use crate::run::Run;
 use crate::settings::{Limits, Settings};
 use crate::state::Entry;
@@ -31,6 +33,12 @@
 /// Time between two looks at the work in flight of a stopping process.
 const STOP_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The longest wait of a stopping process to give its seats back: seats are written every 3 s.
+const RELEASE_TIME: Duration = Duration::from_millis(3_500);
+
+/// Time for the write that gives the seats back. The store answers in milliseconds.
+const WRITE_TIME: Duration = Duration::from_millis(200);
+
 /// Time between two closings of idle connections to targets.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -79,8 +87,14 @@
         let router = Router::new()
             .get("/v1/lookup", Lookup(entry.clone()))
             .post("/v1/run/:service/:kind", Run(entry.clone()));
-        let gate = Gate::new(*limits, entry.gauges.clone());
-        let (callers, caller_address) = serve(settings.caller_listen, config, gate, router)?;
+        let gauges = entry.gauges.clone();
+        let other = move |conn: Conn| {
+            let gauges = gauges.clone();
+            async move { refuse(conn, &gauges, Status::NotFound, Reason::HeadMalformed) }
+        };
+        let gate = Gate::new(*limits, entry.gauges.clone()).with_outcomes();
+        let (callers, caller_address) =
+            serve(settings.caller_listen, config, gate, (router, other))?;
         let health = {
             let entry = entry.clone();
             move |conn: Conn| {
@@ -137,6 +151,7 @@
         let limits = self.entry.settings.limits;
         note(Event::Stopping, &self.entry.settings.name);
         self.entry.leaving.store(true, Ordering::Relaxed);
+        tasks::beat(&self.entry);
         Timer::after(Duration::from_millis(limits.leave_ms)).await;
         let start = Instant::now();
         let limit = Duration::from_millis(limits.stop_ms);
@@ -150,6 +165,7 @@
             note(Event::StopTimeout, format_args!("{} in flight", self.in_flight()));
         };
         futures_lite::future::or(callers, timer).await;
+        self.release_seats().await;
         for task in self.tasks {
             task.cancel().await;
         }
@@ -160,6 +176,22 @@
         note(Event::Stopped, &self.entry.settings.name);
     }
 
+    /// Gives the seats back, now that nothing more is sent over the links, so that others need not
+    /// wait for the leases to end.
+    async fn release_seats(&self) {
+        let start = Instant::now();
+        self.entry.closing.store(true, Ordering::Relaxed);
+        let has_seats = || self.entry.border.figures(clock::now()).0 > 0;
+        if !has_seats() {
+            return;
+        }
+        while has_seats() && start.elapsed() < RELEASE_TIME {
+            Timer::after(STOP_INTERVAL).await;
+        }
+        // The seats are out of use before they are written.
+        Timer::after(WRITE_TIME).await;
+    }
+
     fn in_flight(&self) -> usize {
         let queued: usize = self.entry.pools().iter().map(|(_, driver)| driver.len()).sum();
         queued + usize::try_from(self.entry.gauges.in_flight.get()).unwrap_or(0)
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -42,6 +42,8 @@
     /// When `vms` was last read or received.
     pub(crate) vms_at: Mutex<Option<Instant>>,
     pub(crate) leaving: AtomicBool,
+    /// Whether the last request of a leaving process has ended.
+    pub(crate) closing: AtomicBool,
     store_lost: AtomicBool,
     pub(crate) border: Border,
     pub(crate) afar: Afar,
@@ -69,6 +71,7 @@
             vms: ArcSwap::default(),
             vms_at: Mutex::default(),
             leaving: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
             store_lost: AtomicBool::new(false),
             border: Border::new(),
             afar: Afar::default(),
--- a/crates/entry/tests/afar.rs
+++ b/crates/entry/tests/afar.rs
@@ -187,3 +187,24 @@
     assert!(rate <= 2_000_000.0, "{rate} bytes a second");
     assert!(rate >= 1_000_000.0, "{rate} bytes a second");
 }
+
+/// A stop waits for replies that are on their way to another region, and keeps the seats that they
+/// need; then it gives the seats back (P7).
+#[test]
+fn stop_with_work() {
+    let away = Target::new("rounds-geneva-1-01", |_| Some(reply(200, "", &vec![b'x'; 200_000])));
+    let limits = "[limits]\nleave_ms = 300\n";
+    let mut mesh = Mesh::new("stop-work", &REGIONS, &[&away], limits);
+    let address = mesh.address(0);
+    wait_until("credit", || long_run(address).is_some_and(|got| got.status == 200));
+    away.set_delay(Duration::from_millis(1_500));
+    let before = away.runs().len();
+    let request = std::thread::spawn(move || long_run(address));
+    wait_until("work in flight", || away.runs().len() > before);
+    smol::block_on(mesh.servers.remove(1).stop());
+    let got = request.join().expect("thread").expect("reply");
+    assert_eq!((got.summary().as_str(), got.body.len()), ("200 answered", 200_000));
+    let (_, seats) = mesh.store.object("seats/geneva").expect("seats");
+    let free = |seat: &serde_json::Value| seat["holder"].as_str().is_none_or(str::is_empty);
+    assert!(seats["seats"].as_array().expect("seats").iter().all(free), "{seats}");
+}
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -69,7 +69,7 @@
 #[test_case(&"x".repeat(100), "content-length: 100", "200 answered"; "within")]
 #[test_case(&"x".repeat(101), "content-length: 101", "413 not-run ep-2013"; "above")]
 #[test_case("", "content-length: 99999999999", "413 not-run ep-2013"; "far above")]
-#[test_case("", "content-length: -1", "400"; "negative")]
+#[test_case("", "content-length: -1", "400 not-run ep-2014"; "negative")]
 #[test_case("5\r\nhello\r\n0\r\n\r\n", "transfer-encoding: chunked", "200 answered"; "chunks")]
 #[test_case(&format!("c8\r\n{}\r\n0\r\n\r\n", "x".repeat(200)), "transfer-encoding: chunked", "413 not-run ep-2013"; "chunks above")]
 fn long_body(body: &str, length: &str, expected: &str) {
@@ -82,6 +82,18 @@
     assert_eq!(target.runs().len(), usize::from(expected.starts_with("200")));
 }
 
+/// Each refusal states its outcome, also of heads that are no HTTP and of unknown paths.
+#[test_case("nonsense\r\n\r\n", "400 not-run ep-2014"; "no HTTP")]
+#[test_case("GET /v1/lookup HTTP/1.1\r\n\r\n", "400 not-run ep-2014"; "no host")]
+#[test_case("GET /v1/lookup HTTP/1.1\r\nhost: a\r\nhost: b\r\ntransfer-encoding: gzip\r\n\r\n", "400 not-run ep-2014"; "coding")]
+#[test_case("GET /nothing HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n\r\n", "404 not-run ep-2014"; "path")]
+#[test_case("GET /v1/run/rounds/lookup HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n\r\n", "404 not-run ep-2014"; "method")]
+#[test_case("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", "400 not-run ep-2014"; "other version")]
+fn stated_outcome(request: &str, expected: &str) {
+    let (world, _) = world("stated", "");
+    assert_eq!(summary(&raw(world.address(), request.as_bytes())), expected);
+}
+
 /// A caller that sends slowly loses its connection after the limit, also if it sends a byte now
 /// and then. Guards against connections that are held for ever.
 #[test_case("POST /v1/run/rounds/lookup HTTP/1.1\r\n", "408 not-run ep-2014"; "head")]
