--- a/crates/entry/src/afar.rs
+++ b/crates/entry/src/afar.rs
@@ -78,8 +78,8 @@
     /// The region of the clients and of this entry.
     pub(crate) home: RegionId,
     pub(crate) deadline: Instant,
-    /// Whether the home region can answer in time.
-    pub(crate) can_serve: bool,
+    /// The expected wait in the home region; none if it cannot answer in time.
+    pub(crate) home_wait: Option<Span>,
 }
 
 impl Afar {
@@ -103,14 +103,16 @@
             let region = document.regions[link.to].name.as_str();
             let percent = percent(&plan.1, service, home, region);
             let account = account(&mut accounts, service, region);
-            if percent > 0 || !search.can_serve {
+            let round_trip = link.delay.times(2);
+            // Credit takes a round trip to come, so it is asked for when a wait first shows.
+            if percent > 0 || search.home_wait.is_none_or(|wait| wait > Span::ZERO) {
                 account.wanted_until = now + WANT_TIME;
             }
             let is_in_time = left >= link.delay.times(WAYS) && is_open(region);
             let left = account.wallet.left(now);
-            remotes.push(Remote { region: link.to, percent, left, is_in_time });
+            remotes.push(Remote { region: link.to, percent, left, is_in_time, round_trip });
         }
-        let place = choose_place(fastrand::u32(..100), search.can_serve, &remotes);
+        let place = choose_place(fastrand::u32(..100), search.home_wait, &remotes);
         if let Place::Remote(region) = place {
             let region = &document.regions[region].name;
             if !account(&mut accounts, service, region).wallet.take(now) {
--- a/crates/entry/src/border.rs
+++ b/crates/entry/src/border.rs
@@ -6,9 +6,10 @@
 use ebonypass_core::pacer::{Pacer, Rate};
 use ebonypass_core::policy::Document;
 use ebonypass_core::roster::{Process, Roster};
-use ebonypass_core::seat::{Action, Holder, Message};
+use ebonypass_core::seat::{Action, Holder};
 use ebonypass_core::share::{Backing, Borrow, Loan, Share};
 use ebonypass_core::time::{Instant, Span};
+use ebonypass_core::vote::Message;
 use ebonypass_node::clock;
 use ebonypass_node::sync::lock;
 use smol::Timer;
@@ -92,13 +93,13 @@
         now: Instant,
         roster: &Roster,
         entries: usize,
-        is_leaving: bool,
+        is_closing: bool,
     ) -> Option<Action> {
         let mut guard = lock(&self.inner);
         let inner = guard.as_mut()?;
         // The survivors of a lost entry take its seat over.
         let fair = inner.holder.seats().div_ceil(entries.max(1));
-        inner.holder.set_wanted(if is_leaving { 0 } else { fair });
+        inner.holder.set_wanted(if is_closing { 0 } else { fair });
         let action = inner.holder.next_action(now, roster);
         inner.set_rates(now);
         action
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -8,7 +8,7 @@
 use ebonypass_core::id::TargetId;
 use ebonypass_core::outcome::Reason;
 use ebonypass_core::pool::{
-    Action, Attempt, Config, Job, Load, Pool, Report, Spec, State, Ticket, Verdict,
+    Action, Attempt, Config, Flow, Job, Load, Pool, Report, Spec, State, Ticket, Verdict,
 };
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_node::target::{self, Body, Error, Reply, Request, Target};
@@ -191,6 +191,11 @@
         self.lock().pool.free_slots(clock::now())
     }
 
+    /// The expected wait of a request of `flow` that comes now.
+    pub(crate) fn expected_wait(&self, flow: Flow) -> Span {
+        self.lock().pool.expected_wait(clock::now(), flow)
+    }
+
     /// Requests that wait for a slot.
     pub(crate) fn queued(&self) -> u32 {
         self.lock().pool.queued() as u32
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod driver;
 mod forward;
 mod gauge;
+mod guard;
 mod lookup;
 mod members;
 mod mesh;
--- a/crates/entry/src/mesh.rs
+++ b/crates/entry/src/mesh.rs
@@ -39,9 +39,6 @@
                 lock(&self.0.members).note_status(now, &status, view.as_deref());
                 advance(&self.0);
             }
-            Frame::Vms(vms) if from.data_centre == self.0.settings.data_centre => {
-                note_list(&self.0, vms);
-            }
             Frame::Seat(message) => {
                 let answer = self.0.border.note_message(now, &from.process, &message);
                 self.send(from, answer.map(Frame::Seat));
@@ -57,6 +54,9 @@
                 self.send(from, credit.map(Frame::Credit));
             }
             Frame::Credit(credit) => note_credit(&self.0, &credit),
+            Frame::Vms(vms) if from.data_centre == self.0.settings.data_centre => {
+                note_list(&self.0, vms);
+            }
             _ => note(Event::FrameRefused, format_args!("{}: not expected", from.process)),
         }
     }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -6,13 +6,14 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant, SystemTime};
 
+use ebonypass_core::outcome::Reason;
 use ebonypass_node::event::{Event, note};
 use ebonypass_node::metric::Page;
 use ebonypass_node::peer::Endpoint;
 use ebonypass_node::sync::lock;
 use ebonypass_node::tls::Identity;
 use ebonypass_node::wire::{Hello, PROTOCOL};
-use ebonypass_node::{store, target};
+use ebonypass_node::{clock, store, target};
 use prometheus_client::registry::Registry;
 use smol::Timer;
 use trillium::{Conn, Handler, HttpConfig, Status};
@@ -20,19 +21,36 @@
 use trillium_server_common::ServerHandle;
 
 use crate::gauge::Gauges;
+use crate::guard::Gate;
 use crate::lookup::Lookup;
 use crate::mesh::Mesh;
+use crate::reply::refuse;
 use crate::run::Run;
-use crate::settings::Settings;
+use crate::settings::{Limits, Settings};
 use crate::state::Entry;
 use crate::{afar, delegate, policy, seats, steward, tasks};
 
 /// Time between two looks at the work in flight of a stopping process.
 const STOP_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The longest wait of a stopping process to give its seats back: seats are written every 3 s.
+const RELEASE_TIME: Duration = Duration::from_millis(3_500);
+
+/// Time for the write that gives the seats back. The store answers in milliseconds.
+const WRITE_TIME: Duration = Duration::from_millis(200);
+
 /// Time between two closings of idle connections to targets.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Limits on the connections of operators. Metrics are read by few programs.
+const ADMIN_LIMITS: Limits = Limits {
+    head_bytes: 16 * 1024,
+    callers: 64,
+    head_timeout_ms: 5_000,
+    idle_timeout_ms: 60_000,
+    ..Limits::DEFAULT
+};
+
 type State = Entry<store::Http, target::Http>;
 
 /// A running entry.
@@ -62,12 +80,21 @@
         let (settings, limits) = (&entry.settings, &entry.settings.limits);
         let endpoint = bind_peers(&entry, &identity)?;
         let config = HttpConfig::default()
-            .with_head_max_len(limits.head_bytes)
+            // The guard refuses longer heads with a reply; the library's limit counts from another
+            // start and must not come first.
+            .with_head_max_len(limits.head_bytes + 1_024)
             .with_received_body_max_len(limits.body_bytes as u64);
         let router = Router::new()
             .get("/v1/lookup", Lookup(entry.clone()))
             .post("/v1/run/:service/:kind", Run(entry.clone()));
-        let (callers, caller_address) = serve(settings.caller_listen, config, router)?;
+        let gauges = entry.gauges.clone();
+        let other = move |conn: Conn| {
+            let gauges = gauges.clone();
+            async move { refuse(conn, &gauges, Status::NotFound, Reason::HeadMalformed) }
+        };
+        let gate = Gate::new(*limits, entry.gauges.clone()).with_outcomes();
+        let (callers, caller_address) =
+            serve(settings.caller_listen, config, gate, (router, other))?;
         let health = {
             let entry = entry.clone();
             move |conn: Conn| {
@@ -76,7 +103,9 @@
             }
         };
         let router = Router::new().get("/metrics", Page::new(registry)).get("/health", health);
-        let (admin, admin_address) = serve(settings.admin_listen, HttpConfig::default(), router)?;
+        let gate = Gate::new(ADMIN_LIMITS, entry.gauges.clone());
+        let (admin, admin_address) =
+            serve(settings.admin_listen, HttpConfig::default(), gate, router)?;
         let _ = entry.caller_address.set(caller_address);
         let mesh = Arc::new(Mesh(entry.clone()));
         let tasks = vec![
@@ -88,11 +117,11 @@
             )),
             smol::spawn(sweep(entry.target.clone())),
             smol::spawn(tasks::send_status(entry.clone())),
-            smol::spawn(delegate::run(entry.clone())),
             smol::spawn(seats::keep(entry.clone())),
             smol::spawn(afar::ask(entry.clone())),
             smol::spawn(afar::follow_plan(entry.clone())),
             smol::spawn(steward::hold(entry.clone())),
+            smol::spawn(delegate::run(entry.clone())),
             smol::spawn(tasks::poll_loads(entry.clone())),
         ];
         note(Event::Started, format_args!("{} callers {caller_address}", entry.process));
@@ -122,6 +151,7 @@
         let limits = self.entry.settings.limits;
         note(Event::Stopping, &self.entry.settings.name);
         self.entry.leaving.store(true, Ordering::Relaxed);
+        tasks::beat(&self.entry);
         Timer::after(Duration::from_millis(limits.leave_ms)).await;
         let start = Instant::now();
         let limit = Duration::from_millis(limits.stop_ms);
@@ -135,6 +165,7 @@
             note(Event::StopTimeout, format_args!("{} in flight", self.in_flight()));
         };
         futures_lite::future::or(callers, timer).await;
+        self.release_seats().await;
         for task in self.tasks {
             task.cancel().await;
         }
@@ -145,6 +176,22 @@
         note(Event::Stopped, &self.entry.settings.name);
     }
 
+    /// Gives the seats back, now that nothing more is sent over the links, so that others need not
+    /// wait for the leases to end.
+    async fn release_seats(&self) {
+        let start = Instant::now();
+        self.entry.closing.store(true, Ordering::Relaxed);
+        let has_seats = || self.entry.border.figures(clock::now()).0 > 0;
+        if !has_seats() {
+            return;
+        }
+        while has_seats() && start.elapsed() < RELEASE_TIME {
+            Timer::after(STOP_INTERVAL).await;
+        }
+        // The seats are out of use before they are written.
+        Timer::after(WRITE_TIME).await;
+    }
+
     fn in_flight(&self) -> usize {
         let queued: usize = self.entry.pools().iter().map(|(_, driver)| driver.len()).sum();
         queued + usize::try_from(self.entry.gauges.in_flight.get()).unwrap_or(0)
@@ -174,6 +221,7 @@
 fn serve(
     address: SocketAddr,
     config: HttpConfig,
+    gate: Gate,
     handler: impl Handler,
 ) -> io::Result<(ServerHandle, SocketAddr)> {
     let listener = TcpListener::bind(address)?;
@@ -185,6 +233,7 @@
         .with_nodelay()
         .with_http_config(config)
         .with_prebound_server(listener)
+        .with_acceptor(gate)
         .spawn(handler);
     Ok((handle, address))
 }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -8,10 +8,11 @@
 use ebonypass_core::key::{Answer, Claim, End};
 use ebonypass_core::outcome::Reason;
 use ebonypass_core::roster::{Incarnation, Process, Status};
-use ebonypass_core::seat;
+
 use ebonypass_core::share::{Borrow, Loan};
 use ebonypass_core::time::Span;
 use ebonypass_core::version::Fetch;
+use ebonypass_core::vote::Message;
 use serde::{Deserialize, Serialize};
 use smol::io::{AsyncRead, AsyncReadExt};
 
@@ -93,7 +94,7 @@
     /// Heartbeat.
     Status(Status),
     /// Promises and consents for seats.
-    Seat(seat::Message),
+    Seat(Message),
     /// Asks for link rate.
     Borrow(Borrow),
     /// Lends link rate.
--- a/crates/node/tests/peer.rs
+++ b/crates/node/tests/peer.rs
@@ -5,13 +5,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use ebonypass_core::credit::Need;
 use ebonypass_core::roster::{Incarnation, Process};
 use ebonypass_core::version::Fetch;
 use ebonypass_node::peer::{Endpoint, Error, Link, Service};
 use ebonypass_node::settings::Tls;
 use ebonypass_node::stream::Exchange;
 use ebonypass_node::tls::{self, Identity, Pair};
-use ebonypass_node::wire::{Frame, Hello, PROTOCOL};
+use ebonypass_node::wire::{Frame, Hello, MAX_FRAME, PROTOCOL};
 use smol::io::AsyncReadExt;
 use test_case::test_case;
 
@@ -138,6 +139,19 @@
     assert_eq!(*b.recorder.found.lock().expect("lock"), [("a.7".to_owned(), a.address)]);
 }
 
+/// A frame that is too large is dropped, and the ones after it arrive.
+#[test]
+fn large_frame() {
+    let (a, b) = pair("large");
+    let link = a.endpoint.link(Some("b".to_owned()), b.address);
+    assert!(wait_until(|| link.is_connected()));
+    let large = Need { round: 1, service: "x".repeat(MAX_FRAME), count: 1 };
+    assert!(link.send(Frame::Need(large)));
+    assert!(link.send(Frame::Fetch(Fetch { version: 1 })));
+    assert!(wait_until(|| b.recorder.notes.lock().expect("lock").len() == 1));
+    assert!(link.is_connected());
+}
+
 /// What a reader of a streamed answer sees. Guards against a cut answer that looks whole.
 #[test_case(1, Ok("text"); "whole")]
 #[test_case(2, Err(()); "short")]
