Keep early cancellations, repeated lists and long hedges from misleading

Cause: reading the code again showed three faults. A caller that goes away early made its kind look shorter; a VM list that repeats a target's state reopened a target that sheds; a hedge that may not start yet held up the hedges behind it, also those of suspects. Ruled out: learning nothing from cancelled attempts (each hedge would then make the kind look shorter). Change: a cancelled attempt counts from the 90th percentile on; only a changed spec reopens a target; the list of hedges is searched.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -132,8 +132,11 @@
                     place.answers = 0;
                     place.last_answer = None;
                 }
-                self.places[id].spec = spec;
-                self.places[id].reopen();
+                // The VM list lags: that it repeats itself says nothing of a target that sheds.
+                if self.places[id].spec != spec {
+                    self.places[id].spec = spec;
+                    self.places[id].reopen();
+                }
             }
             None => match self.places.find(unused) {
                 Some(id) => self.places[id] = Place::new(target, spec),
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -114,17 +114,23 @@
 
     /// Sends a second attempt for the job that has waited longest for one.
     pub(crate) fn next_hedge(&mut self, now: Instant) -> Option<Action> {
-        while let Some(&ticket) = self.hedges.front() {
+        if !self.hedge_budget.has_room() || !self.places.has_free_slot() {
+            return None;
+        }
+        for _ in 0..self.hedges.len() {
+            let ticket = *self.hedges.front()?;
             let Some((id, flight)) = self.hedge_wish(ticket) else {
                 self.hedges.pop_front();
                 continue;
             };
-            let is_suspect = self.places.is_suspect(flight.place);
             // While jobs wait, a second attempt of a merely unlucky one would cost another its turn.
-            if !self.hedge_budget.has_room() || (self.queue.len() > 0 && !is_suspect) {
-                return None;
-            }
-            let place = self.places.choose(now, flight.is_long, place_bit(flight.place))?;
+            let is_due = self.queue.len() == 0 || self.places.is_suspect(flight.place);
+            let avoid = place_bit(flight.place);
+            let place = is_due.then(|| self.places.choose(now, flight.is_long, avoid)).flatten();
+            let Some(place) = place else {
+                self.hedges.rotate_left(1);
+                continue;
+            };
             self.hedges.pop_front();
             self.jobs[id].wants_hedge = false;
             if place == flight.place || self.is_too_late(now, id) {
--- a/crates/core/src/settle.rs
+++ b/crates/core/src/settle.rs
@@ -100,9 +100,9 @@
                 false
             }
             _ => {
-                // A cancelled attempt took at least this long. Leaving it out would make the kind
-                // look shorter with each hedge.
-                if !is_suspect && report == Report::Lost {
+                // A cancelled attempt took at least this long. Leaving out the losers of hedges would
+                // make the kind look shorter with each hedge; one cancelled early says nothing.
+                if !is_suspect && report == Report::Lost && time >= self.costs[cost].p90() {
                     self.costs.learn(cost, time);
                 }
                 false
--- a/crates/core/tests/hedging.rs
+++ b/crates/core/tests/hedging.rs
@@ -69,6 +69,24 @@
     assert_eq!(pool.next_action(now), None);
 }
 
+/// Guards against slot times that shrink because callers go away early.
+#[test]
+fn early_goodbyes() {
+    let (mut pool, mut now_us) = taught(2);
+    for _ in 0..1_000 {
+        let (ticket, attempt, target) = send(&mut pool, now_us, true);
+        now_us += 100;
+        pool.abandon(at(now_us), ticket);
+        let cancel = Action::Cancel { ticket, attempt, target };
+        assert_eq!(pool.next_action(at(now_us)), Some(cancel));
+        assert_eq!(pool.report(at(now_us), ticket, attempt, Report::Lost), Verdict::Ignored);
+    }
+    send(&mut pool, now_us, true);
+    let (now, action) = next_after(&mut pool);
+    assert!(matches!(action, Action::Hedge { .. }), "{action:?}");
+    assert!(now >= at(now_us + SERVICE_US));
+}
+
 /// Guards against a second dispatch of non-idempotent work that is merely slow.
 #[test]
 fn firm_work() {
--- a/crates/core/tests/stragglers.rs
+++ b/crates/core/tests/stragglers.rs
@@ -104,6 +104,10 @@
     let mut shed = 0;
     for ms in 0..5_000 {
         let now = at(ms * 1_000);
+        if ms % 100 == 0 {
+            // The lagging VM list repeats itself.
+            pool.set_target(now, TargetId(1), ready(4));
+        }
         let deadline = at(ms * 1_000 + 40_000);
         pool.offer(now, Job { flow: flow(0, 0), deadline, idempotent: true }).unwrap();
         while let Some(action) = pool.next_action(now) {
