Close a target by slow refusals too

Cause: eight refusals without an answer close a target that leaves unseen. Change: a refusal that comes 1 s or more after the first one, without an answer in between, closes the target. Test closed_in_time.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -20,6 +20,9 @@
 /// Refusals without an answer in between after which a target counts as leaving: it gets no work
 /// until its load report or the driver says something new of it, or until this time has passed.
 const CLOSING_SHEDS: u32 = 8;
+/// With little work the refusals come slowly. One that comes this long after the first one, without
+/// an answer in between, closes the target too, so that it gets no work 5 s after the first (P6).
+const CLOSING_TIME: Span = Span::from_secs(1);
 const CLOSED_FOR: Span = Span::from_secs(60);
 /// A load report older than this says nothing about the queue of the target.
 const LOAD_LIFETIME: Span = Span::from_secs(1);
@@ -44,6 +47,7 @@
     pub(crate) rest: Span,
     rest_until: Instant,
     pub(crate) sheds: u32,
+    first_shed: Instant,
     closed_until: Option<Instant>,
     load: Option<(Instant, Load)>,
 }
@@ -64,6 +68,7 @@
             rest: Span::ZERO,
             rest_until: Instant::ZERO,
             sheds: 0,
+            first_shed: Instant::ZERO,
             closed_until: None,
             load: None,
         }
@@ -270,8 +275,13 @@
         let place = &mut self.places[id];
         place.rest = place.rest.times(2).max(FIRST_REST).min(LAST_REST);
         place.rest_until = now + place.rest;
+        if place.sheds == 0 {
+            place.first_shed = now;
+        }
         place.sheds += 1;
-        if place.sheds >= CLOSING_SHEDS && place.is_ready() {
+        let is_closing =
+            place.sheds >= CLOSING_SHEDS || now.since(place.first_shed) >= CLOSING_TIME;
+        if is_closing && place.is_ready() {
             place.closed_until = Some(now + CLOSED_FOR);
             self.recount();
         }
--- a/crates/core/tests/stragglers.rs
+++ b/crates/core/tests/stragglers.rs
@@ -130,3 +130,32 @@
     }
     assert!(targets.contains(&TargetId(1)), "a target that reports again gets work");
 }
+
+/// Guards against work that is sent to a leaving target more than 5 s after its first refusal (P6)
+/// while the VM list and the load reports are silent, also when there is little work.
+#[test_case(1; "every ms")]
+#[test_case(100; "every 100 ms")]
+#[test_case(1_000; "every second")]
+fn closed_in_time(gap_ms: u64) {
+    let mut pool = Pool::new(Config::default());
+    for target in 0..2 {
+        pool.set_target(at(0), TargetId(target), ready(4));
+    }
+    let mut first_shed = None;
+    for now_ms in (0..30_000).step_by(gap_ms as usize) {
+        let now = at(now_ms * 1_000);
+        let deadline = at(now_ms * 1_000 + 40_000);
+        pool.offer(now, Job { flow: flow(0, 0), deadline, idempotent: true }).unwrap();
+        while let Some(action) = pool.next_action(now) {
+            let Action::Dispatch { ticket, attempt, target } = action else { continue };
+            let is_left = target == TargetId(1);
+            if is_left {
+                let first_ms = *first_shed.get_or_insert(now_ms);
+                assert!(now_ms <= first_ms + 5_000, "sent {} ms after", now_ms - first_ms);
+            }
+            let report = if is_left { Report::Shed } else { Report::Answered };
+            pool.report(now, ticket, attempt, report);
+        }
+    }
+    assert!(first_shed.is_some());
+}
