Start peer connections with few streams and allow more on demand

The QUIC library keeps an entry for each stream that it allows, 4,096 on each of the two connections of a pair. Ruled out: a lower fixed limit, because forwarded requests would wait for each other. Change: 64 streams at first, doubled up to 4,096 when half are in use; the connecting side allows none, because only it opens streams. The new test opens 1,000 streams.

--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -37,9 +37,13 @@
 /// Frames that wait for one connection. More are dropped: each is sent again in a newer form.
 const QUEUE: usize = 256;
 
-/// Requests and questions under way over one connection.
+/// Requests and questions under way over one connection, at most.
 const STREAMS: u32 = 4_096;
 
+/// Streams that a fresh connection allows. The QUIC library keeps about 100 bytes for each allowed
+/// stream, so 4,096 of them would cost 0.4 MB a connection.
+const FIRST_STREAMS: u32 = 64;
+
 /// The name that stands in for an unknown one while connecting to an address of the settings.
 const ANY_NAME: &str = "entry";
 
@@ -297,10 +301,18 @@
 }
 
 async fn serve_streams<S: Service>(connection: &Connection, hello: &Arc<Hello>, service: &Arc<S>) {
+    let mut allowed = FIRST_STREAMS;
+    // Each task holds a clone, so the count of clones is that of streams in use.
+    let in_use = Arc::new(());
     while let Ok((send, recv)) = connection.accept_bi().await {
+        if Arc::strong_count(&in_use) > allowed as usize / 2 && allowed < STREAMS {
+            allowed *= 2;
+            connection.set_max_concurrent_bi_streams(allowed.into());
+        }
         let mut recv = Incoming::new(recv);
-        let (hello, service) = (hello.clone(), service.clone());
+        let (hello, service, in_use) = (hello.clone(), service.clone(), in_use.clone());
         smol::spawn(async move {
+            let _in_use = in_use;
             match wire::read(&mut recv).await {
                 Ok(Some(frame)) => service.serve(&hello, frame, Exchange::new(send, recv)).await,
                 Ok(None) | Err(wire::Error::Cut) => {}
@@ -324,7 +336,7 @@
     let crypto = QuicServerConfig::try_from(identity.server()?);
     let crypto = crypto.map_err(|error| tls::Error::Config(error.to_string()))?;
     let mut config = quinn::ServerConfig::with_crypto(Arc::new(crypto));
-    config.transport_config(transport());
+    config.transport_config(transport(FIRST_STREAMS, 1));
     Ok(config)
 }
 
@@ -332,16 +344,18 @@
     let crypto = QuicClientConfig::try_from(identity.peer_client()?);
     let crypto = crypto.map_err(|error| tls::Error::Config(error.to_string()))?;
     let mut config = quinn::ClientConfig::new(Arc::new(crypto));
-    config.transport_config(transport());
+    // Only the side that connected opens streams.
+    config.transport_config(transport(0, 0));
     Ok(config)
 }
 
-fn transport() -> Arc<TransportConfig> {
+/// The transport settings of a side that accepts so many streams with and without a way back.
+fn transport(two_way: u32, one_way: u32) -> Arc<TransportConfig> {
     let mut config = TransportConfig::default();
     let idle = IDLE_TIMEOUT.try_into().expect("3 s fit a QUIC timeout");
     config.max_idle_timeout(Some(idle));
     config.keep_alive_interval(Some(IDLE_TIMEOUT / 3));
-    config.max_concurrent_bidi_streams(STREAMS.into());
-    config.max_concurrent_uni_streams(4u8.into());
+    config.max_concurrent_bidi_streams(two_way.into());
+    config.max_concurrent_uni_streams(one_way.into());
     Arc::new(config)
 }
--- a/crates/node/tests/peer.rs
+++ b/crates/node/tests/peer.rs
@@ -49,6 +49,8 @@
                 exchange.write(b"te").await.expect("write");
                 exchange.finish().expect("finish");
             }
+            // Stays under way until the other side ends it.
+            4 => drop(exchange.read().await),
             // Resets within the body.
             _ => {
                 exchange.send(&Frame::Document { version: 3, length: 4 }).await.expect("send");
@@ -275,3 +277,28 @@
     a.endpoint.set_identity(&identity(&folder, &new, "a")).expect("identity");
     assert!(wait_until(|| link.is_connected()));
 }
+
+/// A connection starts with few streams to save memory. A busy one must get more, or requests would
+/// wait for each other.
+#[test]
+fn many_streams() {
+    let (a, b) = pair("many");
+    let link = a.endpoint.link(Some("b".to_owned()), b.address);
+    assert!(wait_until(|| link.is_connected()));
+    let opened = smol::block_on(async {
+        let open_all = async {
+            let mut open = Vec::new();
+            for _ in 0..1_000 {
+                let frame = Frame::Fetch(Fetch { version: 4 });
+                open.push(link.open(&frame).await.expect("open"));
+            }
+            open.len()
+        };
+        let timer = async {
+            smol::Timer::after(Duration::from_secs(10)).await;
+            0
+        };
+        futures_lite::future::or(open_all, timer).await
+    });
+    assert_eq!(opened, 1_000);
+}
