Admit work that comes against credit as granted

Cause: the pool refused for a long wait what it had granted credit for, since forwarded work was offered as any other. Ruled out: granting less (the slots are free when they are granted). Change: requests from another region go through Pool::offer_granted. All tests of node and entry pass.

--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -113,15 +113,21 @@
         driver
     }
 
-    /// Offers `request` to the pool. An error means that it is not run.
+    /// Offers `request` to the pool. An error means that it is not run. Work that comes against
+    /// credit `is_granted` a slot already.
     pub(crate) fn offer(
         self: &Arc<Self>,
         job: Job,
         request: Arc<Request>,
         trace: Context,
+        is_granted: bool,
     ) -> Result<Waiting<T>, Reason> {
         let mut inner = self.lock();
-        let ticket = inner.pool.offer(clock::now(), job)?;
+        let now = clock::now();
+        let ticket = match is_granted {
+            true => inner.pool.offer_granted(now, job)?,
+            false => inner.pool.offer(now, job)?,
+        };
         let (sender, receiver) = bounded(1);
         inner.work.insert(ticket, Work { request, deadline: job.deadline, trace, sender });
         self.pump(&mut inner);
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -215,7 +215,7 @@
     });
     let job =
         Job { flow: terms.flow, deadline: clock::now() + head.left, idempotent: terms.idempotent };
-    let waiting = entry.pool(&request.service).offer(job, request, trace)?;
+    let waiting = entry.pool(&request.service).offer(job, request, trace, head.is_remote)?;
     // When the other side goes away, dropping `waiting` tells the pool.
     let answer = async { Some(waiting.answer().await) };
     let stopped = async {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -330,7 +330,7 @@
         let idempotent = call.request.idempotent;
         let job = Job { flow: call.terms.flow, deadline: call.deadline, idempotent };
         let driver = self.0.pool(&call.request.service);
-        match driver.offer(job, call.request.clone(), call.trace) {
+        match driver.offer(job, call.request.clone(), call.trace, false) {
             Ok(waiting) => waiting.answer().await.map(Rest::Target),
             Err(reason) => Answer::Failed(reason),
         }
