Send one job ahead to targets in another data centre

Change: module prefetch. While all slots are in use and jobs wait, a distant target gets one job of a short kind more than it has slots, its own queue takes it. Only while the pool is exclusive: no credit granted, no work of other regions' clients up to its latest deadline. A prefetched job keeps free_slots at 0, and if other regions' clients come, as many slots stay free as jobs are prefetched. Its wait at the target counts neither as cost nor against the target; a target that refuses it gets none ahead again.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -6,6 +6,7 @@
 
 use crate::id::{Arena, TargetId, key};
 use crate::pool::{Load, Spec, State};
+use crate::prefetch::Prefetch;
 use crate::suspect::{PROBE_PATIENCE, Suspicion};
 use crate::time::{Instant, Span};
 
@@ -34,7 +35,7 @@
 /// A target of the pool.
 #[derive(Debug)]
 pub(crate) struct Place {
-    target: TargetId,
+    pub(crate) target: TargetId,
     pub(crate) spec: Spec,
     pub(crate) in_flight: u32,
     long_in_flight: u32,
@@ -50,6 +51,7 @@
     first_shed: Instant,
     closed_until: Option<Instant>,
     load: Option<(Instant, Load)>,
+    pub(crate) prefetch: Prefetch,
 }
 
 impl Place {
@@ -71,6 +73,7 @@
             first_shed: Instant::ZERO,
             closed_until: None,
             load: None,
+            prefetch: Prefetch::default(),
         }
     }
 
@@ -87,6 +90,10 @@
         self.is_ready() && self.suspicion.is_none()
     }
 
+    pub(crate) fn takes_prefetch(&self, now: Instant) -> bool {
+        self.is_usable() && now >= self.rest_until && self.reported_queue(now) <= 1
+    }
+
     fn free_slots(&self) -> u32 {
         self.spec.slots.saturating_sub(self.in_flight)
     }
@@ -119,6 +126,8 @@
     long_in_flight: u32,
     pub(crate) suspects: u32,
     closed: u32,
+    pub(crate) prefetched: u32,
+    pub(crate) is_exclusive: bool,
 }
 
 impl Places {
@@ -178,7 +187,7 @@
 
     /// Whether a target that is not a suspect has a free slot.
     pub(crate) fn has_free_slot(&self) -> bool {
-        self.free_slots > 0
+        self.free_slots > self.reserve()
     }
 
     /// Whether any target is a suspect.
@@ -251,7 +260,7 @@
         place.in_flight += 1;
         place.long_in_flight += u32::from(is_long);
         self.long_in_flight += u32::from(is_long);
-        if place.is_usable() {
+        if place.is_usable() && place.in_flight <= place.spec.slots {
             self.free_slots -= 1;
         }
         if let Some(suspicion) = &mut place.suspicion {
--- a/crates/core/src/credit.rs
+++ b/crates/core/src/credit.rs
@@ -77,6 +77,11 @@
         count
     }
 
+    /// Whether any entry holds credit or has requests under way.
+    pub fn is_lending(&self, now: Instant) -> bool {
+        !self.running.is_empty() || self.grants.iter().any(|grant| now < grant.until)
+    }
+
     /// Takes in that a request of `from` has started.
     pub fn start(&mut self, from: EntryId) {
         match self.running.iter_mut().find(|(entry, _)| *entry == from) {
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -72,7 +72,7 @@
     }
 
     /// Whether the answer would more likely come after the deadline than before it.
-    fn is_too_late(&self, now: Instant, id: JobId) -> bool {
+    pub(crate) fn is_too_late(&self, now: Instant, id: JobId) -> bool {
         let record = &self.jobs[id];
         now + self.costs[record.cost].median() > record.job.deadline
     }
@@ -102,7 +102,13 @@
         !cost.is_long() && cost.p90() + cost.median() < left
     }
 
-    fn dispatch(&mut self, now: Instant, lane: LaneId, place: PlaceId, is_probe: bool) -> Action {
+    pub(crate) fn dispatch(
+        &mut self,
+        now: Instant,
+        lane: LaneId,
+        place: PlaceId,
+        is_probe: bool,
+    ) -> Action {
         let charge = self.costs[self.queue[lane].cost()].mean();
         let id = self.queue.pop(lane, charge);
         self.demand.add(now, lane, charge);
@@ -195,6 +201,7 @@
             is_long,
             is_probe,
             is_cancelled: false,
+            is_prefetched: false,
         });
         self.places.start(place, is_long, is_probe);
         self.arm(id);
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -41,6 +41,8 @@
     pub(crate) is_probe: bool,
     /// Whether the pool no longer wants its reply.
     pub(crate) is_cancelled: bool,
+    /// Whether it waits at the target for a slot.
+    pub(crate) is_prefetched: bool,
 }
 
 /// A job and its attempts.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod pacer;
 pub mod policy;
 pub mod pool;
+mod prefetch;
 mod queue;
 mod quorum;
 pub mod roster;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -238,7 +238,8 @@
         self.places.readmit_idle(now);
         let hedge = self.next_hedge(now);
         let probe = hedge.or_else(|| self.next_probe(now));
-        probe.or_else(|| self.next_dispatch(now))
+        let dispatch = probe.or_else(|| self.next_dispatch(now));
+        dispatch.or_else(|| self.next_prefetch(now))
     }
 
     /// Closes the ticket: its caller went away. The attempts in flight must still be reported.
@@ -290,6 +291,9 @@
 
     /// Free slots that the pool's own evidence confirms, less the jobs that wait for them.
     pub fn free_slots(&self, now: Instant) -> u32 {
+        if self.places.prefetched > 0 {
+            return 0;
+        }
         self.places.confirmed_slots(now).saturating_sub(self.queue.len() as u32)
     }
 
--- a/crates/core/src/settle.rs
+++ b/crates/core/src/settle.rs
@@ -37,7 +37,10 @@
             return Verdict::Settled;
         }
         let record = &mut self.jobs[id];
-        record.tried |= place_bit(flight.place);
+        // A full target that refused a job ahead may take it once it has a free slot.
+        if !(flight.is_prefetched && report == Report::Shed) {
+            record.tried |= place_bit(flight.place);
+        }
         record.may_have_run |= report == Report::Lost;
         if record.is_flying() {
             self.arm(id);
@@ -74,6 +77,12 @@
         let (cost, lane) = (self.jobs[id].cost, self.jobs[id].lane);
         let is_suspect = self.places.is_suspect(flight.place);
         self.places.end(flight.place, flight.is_long);
+        self.start_prefetched(now, flight);
+        if flight.is_prefetched && !matches!(report, Report::Lost | Report::Unsent) {
+            let is_refused = report == Report::Shed && !flight.is_cancelled;
+            self.end_prefetched(flight.place, is_refused);
+            return;
+        }
         // Time on a straggler is not the flow's fault, so the expected time stays charged.
         if !is_suspect {
             self.queue.settle(lane, flight.charged, time);
@@ -241,7 +250,7 @@
 /// twice and three times the latter. There is none for a kind that is still unknown.
 fn checkpoint(cost: &Cost, flight: &Flight) -> Option<Instant> {
     let is_last = usize::from(flight.stage) >= STAGE_POINTS.len();
-    if is_last || flight.is_cancelled || !cost.is_known() {
+    if is_last || flight.is_cancelled || flight.is_prefetched || !cost.is_known() {
         return None;
     }
     let age: Span = match flight.stage {
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -37,7 +37,7 @@
 impl Places {
     /// A suspect that is due for a probe.
     pub(crate) fn choose_probe(&self, now: Instant) -> Option<PlaceId> {
-        if self.suspects == 0 {
+        if self.suspects == 0 || self.reserve() > 0 {
             return None;
         }
         let due = self.places.iter().filter(|(_, place)| {
--- a/crates/replay/src/steer.rs
+++ b/crates/replay/src/steer.rs
@@ -64,6 +64,8 @@
     granter: Granter,
     /// Credit granted by each other region.
     wallets: Vec<Wallet>,
+    /// Until when the pool may hold work of clients of other regions that came here directly.
+    visited_until: Instant,
     /// How long replies to each other region wait for the link.
     backlogs: Vec<Span>,
 }
@@ -123,6 +125,7 @@
             tickets: FxHashMap::default(),
             granter: Granter::new(),
             wallets: vec![Wallet::new(); self.document.regions.len()],
+            visited_until: Instant::ZERO,
             backlogs: vec![Span::ZERO; self.document.regions.len()],
         }
     }
@@ -131,6 +134,8 @@
         let mut pool = Pool::new(Config::default());
         for &target in &self.posts[post].targets {
             pool.set_target(now, target, self.spec(target));
+            let is_distant = self.document.targets[target].centre != self.posts[post].owner;
+            pool.set_prefetch(now, target, is_distant);
         }
         pool
     }
@@ -185,8 +190,18 @@
         Ok(())
     }
 
+    /// Tells the pool of `post` whether it serves its own region only.
+    fn note_exclusive(&mut self, now: Instant, post: usize) {
+        let Post { granter, visited_until, pool, .. } = &mut self.posts[post];
+        let is_exclusive = now >= *visited_until && !granter.is_lending(now);
+        if let Some(pool) = pool {
+            pool.set_exclusive(now, is_exclusive);
+        }
+    }
+
     /// Carries out what the pool of `post` has to say.
     fn drain(&mut self, now: Instant, post: usize, out: &mut Vec<Command>) {
+        self.note_exclusive(now, post);
         while let Some(pool) = self.posts[post].pool.as_mut()
             && let Some(action) = pool.next_action(now)
         {
@@ -431,6 +446,10 @@
         }
         self.records[index] =
             Some(Record { inquiry: *inquiry, home, away: None, tickets: Vec::new() });
+        let post = &mut self.posts[home];
+        if self.document.region_of(inquiry.centre) != post.region {
+            post.visited_until = post.visited_until.max(inquiry.deadline);
+        }
         let pool = self.posts[home].pool.as_mut();
         let wait = pool.map(|pool| pool.expected_wait(now, flow_of(inquiry)));
         if wait.is_some() && self.spill(now, inquiry.request, wait, out) {
