--- a/crates/core/tests/stragglers.rs
+++ b/crates/core/tests/stragglers.rs
@@ -104,6 +104,10 @@
     let mut shed = 0;
     for ms in 0..5_000 {
         let now = at(ms * 1_000);
+        if ms % 100 == 0 {
+            // The lagging VM list repeats itself.
+            pool.set_target(now, TargetId(1), ready(4));
+        }
         let deadline = at(ms * 1_000 + 40_000);
         pool.offer(now, Job { flow: flow(0, 0), deadline, idempotent: true }).unwrap();
         while let Some(action) = pool.next_action(now) {
@@ -131,6 +135,26 @@
     assert!(targets.contains(&TargetId(1)), "a target that reports again gets work");
 }
 
+/// Guards against a pool that shuts itself when all targets slow down alike: its learned slot times
+/// are wrong then, not the targets.
+#[test]
+fn all_slow() {
+    let mut driver = Driver::new(4, 3);
+    let mut times = Times::new(9);
+    let mut next = 0;
+    while next < 20_000_000 {
+        driver.run_until(at(next));
+        driver.slowdown.fill(if next < 5_000_000 { 1 } else { 3 });
+        let service_us = times.service_us(MEAN_US);
+        let _ = driver.offer(flow(0, 0), 20 * DEADLINE_US, true, service_us);
+        next += times.exponential_us(MEAN_US / 12.0 / 0.25);
+    }
+    driver.run_until(at(21_000_000));
+    let answered = driver.count(flow(0, 0), Outcome::Answered);
+    assert!(answered * 100 >= driver.done.len() * 99, "{answered} of {}", driver.done.len());
+    assert!(driver.hedges * 20 <= driver.dispatches);
+}
+
 /// Guards against work that is sent to a leaving target more than 5 s after its first refusal (P6)
 /// while the VM list and the load reports are silent, also when there is little work.
 #[test_case(1; "every ms")]
--- a/crates/entry/src/gauge.rs
+++ b/crates/entry/src/gauge.rs
@@ -37,7 +37,7 @@
 /// Which limit ended a connection or a request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct LimitLabels {
-    /// `callers`, `head`, `idle`, `body` or `held`.
+    /// `callers`, `head`, `malformed`, `time`, `idle`, `stall`, `body` or `held`.
     pub(crate) limit: &'static str,
 }
 
@@ -59,8 +59,13 @@
     pub(crate) claims: Gauge,
     pub(crate) vms: Gauge,
     pub(crate) peers: Gauge,
+    pub(crate) seats: Gauge,
+    pub(crate) link_rate: Gauge,
+    pub(crate) sent_afar: Counter,
+    pub(crate) steward: Gauge,
     pub(crate) peer_bytes: Gauge,
     pub(crate) limited: Family<LimitLabels, Counter>,
+    pub(crate) held_bytes: Gauge,
 }
 
 impl Gauges {
@@ -83,8 +88,13 @@
             claims: Gauge::default(),
             vms: Gauge::default(),
             peers: Gauge::default(),
+            seats: Gauge::default(),
+            link_rate: Gauge::default(),
+            sent_afar: Counter::default(),
+            steward: Gauge::default(),
             peer_bytes: Gauge::default(),
             limited: Family::default(),
+            held_bytes: Gauge::default(),
         };
         let g = &gauges;
         let mut at = registry.sub_registry_with_prefix("ebonypass");
@@ -102,8 +112,13 @@
         r.register("in_flight", "Requests of callers and peers in flight", g.in_flight.clone());
         r.register("forwarded", "Requests that peers forwarded here", g.forwarded.clone());
         r.register("claims", "Request keys held", g.claims.clone());
-        r.register("vms", "VMs on the platform's list", g.vms.clone());
+        r.register("seats", "Seats in force", g.seats.clone());
+        r.register("link_rate_bytes", "Bytes a second on all links", g.link_rate.clone());
+        r.register("sent_afar", "Requests sent to other regions", g.sent_afar.clone());
+        r.register("steward", "1 while the steward lease is held", g.steward.clone());
         r.register("peers", "Peers that are live", g.peers.clone());
+        r.register("held_bytes", "Bytes of requests' bodies held", g.held_bytes.clone());
+        r.register("vms", "VMs on the platform's list", g.vms.clone());
         r.register("peer_bytes", "Bytes of the present links to peers", g.peer_bytes.clone());
         r.register("limited", "Connections and requests ended by a limit", g.limited.clone());
         gauges
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,10 +1,13 @@
 //! The entry process: look-ups, queueing and forwarding.
 
+mod afar;
+mod border;
 mod claim;
 mod delegate;
 mod driver;
 mod forward;
 mod gauge;
+mod guard;
 mod lookup;
 mod members;
 mod mesh;
@@ -12,9 +15,11 @@
 mod policy;
 mod reply;
 mod run;
+mod seats;
 mod server;
 pub mod settings;
 mod state;
+mod steward;
 mod tasks;
 mod view;
 
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Instant as StdInstant;
 
+use ebonypass_core::credit::Place;
+use ebonypass_core::id::RegionId;
 use ebonypass_core::outcome::{Outcome, Reason};
 use ebonypass_core::pool::Job;
-use ebonypass_core::roster::PoolKey;
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_node::peer::Link;
 use ebonypass_node::store::Store;
@@ -17,13 +18,15 @@
 use trillium::{Conn, Handler, KnownHeaderName};
 use trillium_router::RouterConnExt;
 
+use crate::afar::Search;
+use crate::border::Border;
 use crate::claim::{Refusal, claim, settle};
 use crate::driver::Answer;
 use crate::forward::{Parcel, Rest, forward};
-use crate::gauge::{Gauges, ServiceLabels};
+use crate::gauge::{Gauges, LimitLabels, ServiceLabels};
 use crate::reply::{PRIOR, answer, refuse, run_status};
 use crate::state::Entry;
-use crate::view::{Terms, scan_block};
+use crate::view::{Terms, View, scan_block};
 
 /// The handler of `/v1/run/:service/:kind`.
 pub(crate) struct Run<S, T: Target>(pub(crate) Arc<Entry<S, T>>);
@@ -44,16 +47,43 @@
     }
 }
 
+/// Room for a body among the bytes that are held.
+struct Held {
+    bytes: Gauge,
+    length: i64,
+}
+
+impl Held {
+    /// Room for `length` bytes, if no more than `limit` are held then.
+    fn new(gauges: &Gauges, length: usize, limit: usize) -> Option<Held> {
+        let bytes = gauges.held_bytes.clone();
+        let length = length as i64;
+        let before = bytes.inc_by(length);
+        let held = Held { bytes, length };
+        (before + length <= limit as i64).then_some(held)
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.bytes.dec_by(self.length);
+    }
+}
+
 /// A caller's request, read and checked.
 struct Call {
     terms: Terms,
     member: String,
     request: Arc<Request>,
-    /// The pool that serves it, if the policy names this entry's data centre.
-    pool: Option<PoolKey>,
+    view: Arc<View>,
+    /// The region of this entry, if the policy names its data centre.
+    region: Option<RegionId>,
+    /// The region of the client.
+    client_region: RegionId,
     deadline: Instant,
     key: Option<String>,
     trace: Context,
+    _held: Held,
 }
 
 impl<S: Store, T: Target> Handler for Run<S, T> {
@@ -63,8 +93,10 @@
         let context = Context::from_header(conn.request_headers().get_str(trace::HEADER));
         let span = TraceSpan::new(context, "entry");
         let service = conn.param("service").unwrap_or_default().to_owned();
-        let result = match self.read(&mut conn, span.context()).await {
-            Ok(call) => self.claim(call).await,
+        let call = self.read(&mut conn, span.context()).await;
+        let is_read = call.is_ok() || conn.request_headers().content_length() == Some(0);
+        let result = match call {
+            Ok(call) => self.claim(&call).await,
             Err(reason) => Ok(Answer::Failed(reason)),
         };
         let is_known = !matches!(result, Ok(Answer::Failed(Reason::UnknownService)));
@@ -88,7 +120,12 @@
             let latency = self.0.gauges.latency.get_or_create(&ServiceLabels { service });
             latency.observe(start.elapsed().as_secs_f64());
         }
-        if self.0.is_leaving() { conn.with_response_header("connection", "close") } else { conn }
+        // A refused body may not have been read, so the next request could not be found.
+        if self.0.is_leaving() || !is_read {
+            conn.with_response_header("connection", "close")
+        } else {
+            conn
+        }
     }
 }
 
@@ -102,7 +139,7 @@
         let member = text("ebonypass-member").ok_or(Reason::UnknownMember)?.to_owned();
         let terms = view.terms(&member, &service, &kind)?;
         let block = text("ebonypass-block").and_then(scan_block).ok_or(Reason::UnknownBlock)?;
-        view.centre(block)?;
+        let client_region = view.document.region_of(view.centre(block)?);
         let deadline = match text("ebonypass-deadline-ms") {
             Some(text) => self.scan_deadline(text)?,
             None => terms.deadline,
@@ -112,18 +149,65 @@
             return Err(Reason::KeyMissing);
         }
         let content_type = headers.get_str(KnownHeaderName::ContentType).map(str::to_owned);
-        let limit = self.0.settings.limits.body_bytes;
-        let length = headers.get_str(KnownHeaderName::ContentLength);
-        if length.is_some_and(|text| text.parse().map_or(true, |length: usize| length > limit)) {
-            return Err(Reason::BodyTooLarge);
-        }
-        let body = conn.request_body().with_max_len(limit as u64).read_bytes().await;
-        let body = body.map_err(|_| Reason::BodyTooLarge)?;
+        let length = headers.get_str(KnownHeaderName::ContentLength).map(str::to_owned);
+        let (held, body) = self.read_body(conn, length.as_deref()).await?;
         let idempotent = terms.idempotent;
         let request = Arc::new(Request { service, kind, idempotent, body, content_type });
         let region = view.region_of(&self.0.settings.data_centre);
-        let pool = region.map(|region| view.pool(terms.service, region));
-        Ok(Call { terms, member, request, pool, deadline: clock::now() + deadline, key, trace })
+        let deadline = clock::now() + deadline;
+        let _held = held;
+        Ok(Call {
+            terms,
+            member,
+            request,
+            view,
+            region,
+            client_region,
+            deadline,
+            key,
+            trace,
+            _held,
+        })
+    }
+
+    /// Reads a body, once there is room for it among the bytes that are held.
+    async fn read_body(
+        &self,
+        conn: &mut Conn,
+        length: Option<&str>,
+    ) -> Result<(Held, Vec<u8>), Reason> {
+        let gauges = &self.0.gauges;
+        let limits = &self.0.settings.limits;
+        let limit = limits.body_bytes;
+        let count = |limit| gauges.limited.get_or_create(&LimitLabels { limit }).inc();
+        let chunked = conn.request_headers().has_header(KnownHeaderName::TransferEncoding);
+        let length = match length {
+            // Bodies in chunks tell no length, so room for the largest one is kept.
+            None if chunked => limit,
+            None => 0,
+            Some(text) => text.parse().map_err(|_| Reason::HeadMalformed)?,
+        };
+        if length > limit {
+            count("body");
+            return Err(Reason::BodyTooLarge);
+        }
+        let held = Held::new(gauges, length, limits.held_bytes).ok_or_else(|| {
+            count("held");
+            Reason::QueueFull
+        })?;
+        let body = conn.request_body().with_max_len(limit as u64).read_bytes().await;
+        let body = body.map_err(|error| match error {
+            trillium::Error::ReceivedBodyTooLong(_) => {
+                count("body");
+                Reason::BodyTooLarge
+            }
+            _ if chunked => {
+                count("body");
+                Reason::BodyTooLarge
+            }
+            _ => Reason::HeadMalformed,
+        })?;
+        Ok((held, body))
     }
 
     fn scan_deadline(&self, text: &str) -> Result<Span, Reason> {
@@ -132,7 +216,7 @@
     }
 
     /// Claims the key of non-idempotent work, and serves.
-    async fn claim(&self, call: Call) -> Result<Answer<Rest<T::Reader>>, Refusal> {
+    async fn claim(&self, call: &Call) -> Result<Answer<Rest<T::Reader>>, Refusal> {
         let Some(key) = call.key.as_ref().filter(|_| !call.request.idempotent) else {
             return Ok(self.serve(call).await);
         };
@@ -142,47 +226,124 @@
         Ok(answer)
     }
 
-    /// Serves from the pool's owner entry.
-    async fn serve(&self, call: Call) -> Answer<Rest<T::Reader>> {
-        let Some(link) = self.owner(&call) else { return self.serve_here(call).await };
-        let Some(link) = link else { return Answer::Failed(Reason::NoOwner) };
-        let parcel = Parcel {
-            member: &call.member,
-            request: &call.request,
-            deadline: call.deadline,
-            trace: call.trace,
-            is_remote: false,
+    /// Serves in the home region or, by plan or because the home region cannot, in another one.
+    /// Clients of other regions come here when theirs is gone, and are served here.
+    async fn serve(&self, call: &Call) -> Answer<Rest<T::Reader>> {
+        let home_wait = self.home_wait(call);
+        if let Place::Remote(region) = self.place(call, Some(home_wait))
+            && let Some(answer) = self.serve_afar(call, region).await
+        {
+            return answer;
+        }
+        let answer = self.serve_home(call).await;
+        let Answer::Failed(reason) = answer else { return answer };
+        let is_full =
+            matches!(reason, Reason::DeadlineTooClose | Reason::QueueFull | Reason::NoTarget);
+        if is_full
+            && let Place::Remote(region) = self.place(call, None)
+            && let Some(answer) = self.serve_afar(call, region).await
+        {
+            return answer;
+        }
+        Answer::Failed(reason)
+    }
+
+    /// The expected wait in the own pool. Another owner's is not known here and counts as none;
+    /// look-ups send callers to the owner.
+    fn home_wait(&self, call: &Call) -> Span {
+        match self.owner(call) {
+            None => self.0.pool(&call.request.service).expected_wait(call.terms.flow),
+            Some(_) => Span::ZERO,
+        }
+    }
+
+    fn place(&self, call: &Call, home_wait: Option<Span>) -> Place {
+        let Some(home) = call.region.filter(|region| *region == call.client_region) else {
+            return Place::Home;
         };
-        match forward(&link, parcel).await {
+        let (service, deadline) = (call.terms.service, call.deadline);
+        let search = Search { service, home, deadline, home_wait };
+        let now = clock::now();
+        let border = &self.0.border;
+        self.0.afar.choose(now, &call.view, search, |region| border.is_open(now, region))
+    }
+
+    /// Serves in another region, whose credit has been taken. None if nothing was sent there, or
+    /// if the work may be done again.
+    async fn serve_afar(&self, call: &Call, region: RegionId) -> Option<Answer<Rest<T::Reader>>> {
+        let name = call.view.document.regions[region].name.as_str();
+        let pool = call.view.pool(call.terms.service, region);
+        let link = {
+            let members = lock(&self.0.members);
+            let owner = members.roster.owner(clock::now(), pool);
+            owner.and_then(|owner| members.link_of(owner))
+        };
+        let result = match link {
+            Some(link) => forward(&link, self.parcel(call, Some((&self.0.border, name)))).await,
+            None => Err(peer::Error::Unsent),
+        };
+        self.0.afar.put(&call.request.service, name);
+        if result.is_ok() {
+            self.0.gauges.sent_afar.inc();
+        }
+        match result {
+            Ok(answer) => Some(answer),
+            Err(peer::Error::Unsent) => None,
+            Err(peer::Error::Lost) if call.may_repeat() => None,
+            Err(peer::Error::Lost) => Some(Answer::Failed(Reason::PeerLost)),
+        }
+    }
+
+    /// Serves from the entry of this region that owns the pool.
+    async fn serve_home(&self, call: &Call) -> Answer<Rest<T::Reader>> {
+        let Some(link) = self.owner(call) else { return self.serve_here(call).await };
+        let Some(link) = link else { return Answer::Failed(Reason::NoOwner) };
+        match forward(&link, self.parcel(call, None)).await {
             Ok(answer) => answer,
             Err(peer::Error::Unsent) => Answer::Failed(Reason::NoOwner),
             // The owner has gone; until its successor is known, targets shed what is too much.
-            Err(peer::Error::Lost) if call.request.idempotent && clock::now() < call.deadline => {
-                self.serve_here(call).await
-            }
+            Err(peer::Error::Lost) if call.may_repeat() => self.serve_here(call).await,
             Err(peer::Error::Lost) => Answer::Failed(Reason::PeerLost),
         }
     }
 
+    fn parcel<'a>(&self, call: &'a Call, way: Option<(&'a Border, &'a str)>) -> Parcel<'a> {
+        Parcel {
+            member: &call.member,
+            request: &call.request,
+            deadline: call.deadline,
+            trace: call.trace,
+            way,
+        }
+    }
+
     /// The way to the entry that owns the pool: none if it is this one, `Some(None)` if there is
     /// no connection.
     fn owner(&self, call: &Call) -> Option<Option<Arc<Link>>> {
+        let pool = call.view.pool(call.terms.service, call.region?);
         let members = lock(&self.0.members);
-        let owner = members.roster.owner(clock::now(), call.pool?)?;
+        let owner = members.roster.owner(clock::now(), pool)?;
         (owner != members.roster.own()).then(|| members.link_of(owner))
     }
 
-    async fn serve_here(&self, call: Call) -> Answer<Rest<T::Reader>> {
-        let Call { request, deadline, .. } = call;
-        let job = Job { flow: call.terms.flow, deadline, idempotent: request.idempotent };
-        let driver = self.0.pool(&request.service);
-        match driver.offer(job, request, call.trace) {
+    async fn serve_here(&self, call: &Call) -> Answer<Rest<T::Reader>> {
+        let idempotent = call.request.idempotent;
+        let job = Job { flow: call.terms.flow, deadline: call.deadline, idempotent };
+        let driver = self.0.pool(&call.request.service);
+        match driver.offer(job, call.request.clone(), call.trace) {
             Ok(waiting) => waiting.answer().await.map(Rest::Target),
             Err(reason) => Answer::Failed(reason),
         }
     }
 }
 
+impl Call {
+    /// Whether doing the work a second time does no harm and there is time for it.
+    fn may_repeat(&self) -> bool {
+        self.request.idempotent && clock::now() < self.deadline
+    }
+}
+
 fn outcome_of<B>(answer: &Answer<B>) -> Outcome {
     match answer {
         Answer::Answered(_) => Outcome::Answered,
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -213,7 +213,11 @@
         let hello = encode(&Frame::Hello(endpoint.hello.clone())).ok()?;
         stream.write_all(&hello).await.ok()?;
         while let Ok(frame) = frames.recv().await {
-            stream.write_all(&encode(&frame).ok()?).await.ok()?;
+            match encode(&frame) {
+                Ok(bytes) => stream.write_all(&bytes).await.ok()?,
+                // A frame that is too large must not end the connection of the others.
+                Err(error) => note(Event::FrameRefused, format_args!("own frame: {error}")),
+            }
         }
         Some(())
     };
