Pass by an owner entry whose heartbeat is overdue

Ruled out: a shorter heartbeat timeout, because one lost frame would move queues; waiting for the QUIC idle timeout (3 s), which is longer than most deadlines. Change: an entry whose heartbeat is 700 ms late gets no forwarded work, but keeps its pools; idempotent work in flight there is given up then and run in the own pool, where targets shed what is too much. Non-idempotent work in flight stays unknown.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -24,6 +24,10 @@
 /// lost.
 pub const HEARTBEAT_TIMEOUT: Span = Span::from_secs(2);
 
+/// Silence after which a heartbeat is overdue: one interval of 500 ms and the longest way, with
+/// some reserve for a busy machine.
+pub const HEARTBEAT_PATIENCE: Span = Span::from_millis(700);
+
 /// Silence after which a lower incarnation of an entry is believed. Incarnations come from the wall
 /// clock at the start of a process; a clock that was set back must not hide the entry for ever.
 pub const INCARNATION_TIMEOUT: Span = Span::from_secs(20);
@@ -321,6 +325,13 @@
         entry == self.own || self.entries[entry].beat.is_some_and(is_heard)
     }
 
+    /// Whether a heartbeat of `entry` is overdue. It may have died; no new work is sent there, but
+    /// it keeps its pools until [`HEARTBEAT_TIMEOUT`], so that one lost frame moves no queue.
+    pub fn is_overdue(&self, now: Instant, entry: EntryId) -> bool {
+        let is_late = |beat: Beat| now.since(beat.at) >= HEARTBEAT_PATIENCE;
+        entry != self.own && self.entries[entry].beat.is_none_or(is_late)
+    }
+
     /// Whether `entry` is live and takes new work.
     pub fn is_ready(&self, now: Instant, entry: EntryId) -> bool {
         let Entry { list, beat, .. } = &self.entries[entry];
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,10 +1,10 @@
 //! Answers `POST /v1/run/SERVICE/KIND`.
 
 use std::sync::Arc;
-use std::time::Instant as StdInstant;
+use std::time::{Duration, Instant as StdInstant};
 
 use ebonypass_core::credit::Place;
-use ebonypass_core::id::RegionId;
+use ebonypass_core::id::{EntryId, RegionId};
 use ebonypass_core::outcome::{Outcome, Reason};
 use ebonypass_core::pool::Job;
 use ebonypass_core::time::{Instant, Span};
@@ -14,7 +14,9 @@
 use ebonypass_node::target::{Request, Target};
 use ebonypass_node::trace::{self, Context, Span as TraceSpan};
 use ebonypass_node::{clock, peer};
+use futures_lite::future;
 use prometheus_client::metrics::gauge::Gauge;
+use smol::Timer;
 use trillium::{Conn, Handler, KnownHeaderName};
 use trillium_router::RouterConnExt;
 
@@ -28,6 +30,9 @@
 use crate::state::Entry;
 use crate::view::{Terms, View, scan_block};
 
+/// Time between two looks at the heartbeats of an entry that has a request.
+const OVERDUE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The handler of `/v1/run/:service/:kind`.
 pub(crate) struct Run<S, T: Target>(pub(crate) Arc<Entry<S, T>>);
 
@@ -273,13 +278,18 @@
     async fn serve_afar(&self, call: &Call, region: RegionId) -> Option<Answer<Rest<T::Reader>>> {
         let name = call.view.document.regions[region].name.as_str();
         let pool = call.view.pool(call.terms.service, region);
-        let link = {
+        let way = {
             let members = lock(&self.0.members);
-            let owner = members.roster.owner(clock::now(), pool);
-            owner.and_then(|owner| members.link_of(owner))
+            let now = clock::now();
+            let owner = members.roster.owner(now, pool);
+            let owner = owner.filter(|&owner| !members.roster.is_overdue(now, owner));
+            owner.and_then(|owner| Some((owner, members.link_of(owner)?)))
         };
-        let result = match link {
-            Some(link) => forward(&link, self.parcel(call, Some((&self.0.border, name)))).await,
+        let result = match way {
+            Some((owner, link)) => {
+                let parcel = self.parcel(call, Some((&self.0.border, name)));
+                self.forward(owner, &link, parcel).await
+            }
             None => Err(peer::Error::Unsent),
         };
         self.0.afar.put(&call.request.service, name);
@@ -294,19 +304,43 @@
         }
     }
 
-    /// Serves from the entry of this region that owns the pool.
+    /// Serves from the entry of this region that owns the pool, or from the own pool while nothing
+    /// is heard of the owner. Targets then shed what is too much.
     async fn serve_home(&self, call: &Call) -> Answer<Rest<T::Reader>> {
-        let Some(link) = self.owner(call) else { return self.serve_here(call).await };
+        let Some(owner) = self.owner(call) else { return self.serve_here(call).await };
+        let link = lock(&self.0.members).link_of(owner);
         let Some(link) = link else { return Answer::Failed(Reason::NoOwner) };
-        match forward(&link, self.parcel(call, None)).await {
+        match self.forward(owner, &link, self.parcel(call, None)).await {
             Ok(answer) => answer,
             Err(peer::Error::Unsent) => Answer::Failed(Reason::NoOwner),
-            // The owner has gone; until its successor is known, targets shed what is too much.
             Err(peer::Error::Lost) if call.may_repeat() => self.serve_here(call).await,
             Err(peer::Error::Lost) => Answer::Failed(Reason::PeerLost),
         }
     }
 
+    /// Forwards a request. Idempotent work is given up as soon as nothing is heard of `owner`, since
+    /// there may be time to run it elsewhere.
+    async fn forward(
+        &self,
+        owner: EntryId,
+        link: &Link,
+        parcel: Parcel<'_>,
+    ) -> Result<Answer<Rest<T::Reader>>, peer::Error> {
+        if parcel.request.idempotent {
+            future::or(forward(link, parcel), self.until_overdue(owner)).await
+        } else {
+            forward(link, parcel).await
+        }
+    }
+
+    /// Ends when the heartbeat of `owner` is overdue.
+    async fn until_overdue<B>(&self, owner: EntryId) -> Result<Answer<B>, peer::Error> {
+        while !lock(&self.0.members).roster.is_overdue(clock::now(), owner) {
+            Timer::after(OVERDUE_INTERVAL).await;
+        }
+        Err(peer::Error::Lost)
+    }
+
     fn parcel<'a>(&self, call: &'a Call, way: Option<(&'a Border, &'a str)>) -> Parcel<'a> {
         Parcel {
             member: &call.member,
@@ -317,13 +351,13 @@
         }
     }
 
-    /// The way to the entry that owns the pool: none if it is this one, `Some(None)` if there is
-    /// no connection.
-    fn owner(&self, call: &Call) -> Option<Option<Arc<Link>>> {
+    /// The other entry that owns the pool; none if it is this one, or if a heartbeat is overdue.
+    fn owner(&self, call: &Call) -> Option<EntryId> {
         let pool = call.view.pool(call.terms.service, call.region?);
-        let members = lock(&self.0.members);
-        let owner = members.roster.owner(clock::now(), pool)?;
-        (owner != members.roster.own()).then(|| members.link_of(owner))
+        let now = clock::now();
+        let roster = &lock(&self.0.members).roster;
+        let owner = roster.owner(now, pool)?;
+        (owner != roster.own() && !roster.is_overdue(now, owner)).then_some(owner)
     }
 
     async fn serve_here(&self, call: &Call) -> Answer<Rest<T::Reader>> {
--- a/crates/entry/tests/process.rs
+++ b/crates/entry/tests/process.rs
@@ -3,10 +3,11 @@
 mod fake;
 
 use std::io::Read;
+use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use fake::{Folder, POLICY, Store, Target, call, run, wait_until};
+use fake::{Folder, POLICY, Store, Target, call, entry_vm, run, wait_until};
 use test_case::test_case;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_ebonypass-entry");
@@ -104,8 +105,7 @@
     let before = target.runs().len();
     let request = std::thread::spawn(move || run(address, b"last").summary());
     wait_until("work in flight", || target.runs().len() > before);
-    let id = child.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+    signal(&child, "-TERM");
     assert_eq!(request.join().expect("thread"), "200 answered");
     let (code, text) = end(child);
     assert_eq!(code, Some(0), "{text}");
@@ -120,3 +120,70 @@
         assert!(log.contains(event), "{event} is not in:\n{log}");
     }
 }
+
+/// Requests that reach another entry while the owner of their pool is frozen are answered: an owner
+/// of which nothing is heard is passed by. Idempotent work in flight there is run again.
+#[test]
+fn frozen_owner() {
+    let folder = Folder::new("frozen-owner");
+    let (store, target) = (Store::new(), Target::echo("rounds-zurich-1-01"));
+    store.set_policy(7, POLICY);
+    let addresses: Vec<[SocketAddr; 2]> =
+        (0..2).map(|_| [0, 1].map(|_| SocketAddr::from(([127, 0, 0, 1], unused_port())))).collect();
+    let names = ["zurich-1-a", "zurich-1-b"];
+    let children = names.iter().zip(&addresses).map(|(name, [callers, peers])| {
+        let text = folder.settings(name, "zurich-1", store.address, "");
+        let text = text.replacen("127.0.0.1:0", &callers.to_string(), 1);
+        let text = text.replacen("127.0.0.1:0", &peers.to_string(), 1);
+        let path = folder.path.join(format!("{name}.toml"));
+        std::fs::write(&path, text).expect("write");
+        Ended(spawn(&[path.to_str().expect("path")]))
+    });
+    let children: Vec<Ended> = children.collect();
+    let vms = names
+        .iter()
+        .zip(&addresses)
+        .map(|(name, [callers, peers])| entry_vm(name, "zurich-1", *callers, *peers));
+    store.set_vms(vms.chain([target.vm("live")]).collect());
+    let first = |address| {
+        let got = call(
+            address,
+            "GET",
+            "/v1/lookup?member=windelrunde&service=rounds&block=10.1.0.0/24",
+            "",
+            b"",
+        )?;
+        let answer = (got.status == 200).then(|| got.json())?;
+        let entries = answer["entries"].as_array()?;
+        (entries.len() == 2).then(|| entries[0]["name"].as_str().map(str::to_owned))?
+    };
+    wait_until("both know both", || {
+        let [a, b] = [first(addresses[0][0]), first(addresses[1][0])];
+        a.is_some() && a == b
+    });
+    let owner = first(addresses[0][0]).expect("owner");
+    let frozen = names.iter().position(|name| **name == *owner).expect("known name");
+    let other = addresses[1 - frozen][0];
+    wait_until("targets", || run(other, b"x").summary() == "200 answered");
+    signal(&children[frozen].0, "-STOP");
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(2_500) {
+        assert_eq!(run(other, b"x").summary(), "200 answered", "after {:?}", start.elapsed());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A process that is ended for good when the test ends.
+struct Ended(Child);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn signal(child: &Child, name: &str) {
+    let id = child.id().to_string();
+    assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
+}
