Tell operators what each drain waits for

Cause: the draining part of status/<data centre> was always empty, so the console and the command line could not show when a drain is done. Ruled out: the targets' own load reports, because they lag and mislead. Change: heartbeats carry the requests that the sender still has at leaving targets; the delegate adds them up for each drain in force. Figures: the new test waiting_drain sees 1 request while it runs and 0 after it was answered. Conclusion: a drain that shows 0 is done.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -137,6 +137,17 @@
     pub steward_epoch: u64,
     /// The pools that the process owns.
     pub pools: Vec<PoolStatus>,
+    /// Leaving targets that still run requests of the process.
+    pub draining: Vec<Draining>,
+}
+
+/// A leaving target with requests in flight.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Draining {
+    /// The target's name.
+    pub target: String,
+    /// Requests that it still runs for the sender.
+    pub in_flight: u32,
 }
 
 /// One owned pool in a heartbeat.
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -21,6 +21,7 @@
         leaving: false,
         version: 1,
         steward_epoch: 0,
+        draining: Vec::new(),
         pools: Vec::new(),
     }
 }
--- a/crates/entry/src/delegate.rs
+++ b/crates/entry/src/delegate.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ebonypass_core::policy::{Drain, Subject};
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_node::clock;
 use ebonypass_node::store::{Error, Store, Vm};
@@ -35,8 +36,17 @@
 struct Report {
     /// Live entries of the data centre by the policy version that they have in force.
     versions: BTreeMap<u64, u32>,
-    /// Drains that wait for work in flight.
-    draining: [(); 0],
+    /// Drains in force and the requests for which they wait.
+    draining: Vec<Wait>,
+}
+
+/// A drain in force.
+#[derive(Debug, PartialEq, Serialize)]
+struct Wait {
+    /// The data centre or the target.
+    subject: String,
+    /// Requests in flight, 0 when the drain is done.
+    in_flight: u32,
 }
 
 /// What a delegate remembers from one round to the next.
@@ -138,5 +148,30 @@
     for version in lock(&entry.members).versions_in(clock::now(), &entry.settings.data_centre) {
         *versions.entry(version).or_insert(0) += 1;
     }
-    Report { versions, draining: [] }
+    Report { versions, draining: draining(entry) }
+}
+
+/// The drains in force of targets of the own data centre.
+fn draining<S: Store, T: Target>(entry: &Entry<S, T>) -> Vec<Wait> {
+    let Ok(view) = entry.view() else { return Vec::new() };
+    let document = &view.document;
+    let Some(centre) = document.centre(&entry.settings.data_centre) else { return Vec::new() };
+    let (now, now_s) = (clock::now(), clock::unix_s());
+    let is_near = |drain: &&Drain| match drain.subject {
+        Subject::Centre(drained) => drained == centre,
+        Subject::Target(target) => document.targets[target].centre == centre,
+    };
+    let active = document.drains.iter().filter(|drain| drain.is_active(now_s)).filter(is_near);
+    let members = lock(&entry.members);
+    let waits = active.map(|drain| {
+        let targets = document.targets.iter();
+        let drained = targets.filter(|(target, _)| document.covers(drain.subject, *target));
+        let in_flight = drained.map(|(_, target)| members.in_flight_at(now, &target.name)).sum();
+        let subject = match drain.subject {
+            Subject::Centre(centre) => document.centres[centre].name.clone(),
+            Subject::Target(target) => document.targets[target].name.clone(),
+        };
+        Wait { subject, in_flight }
+    });
+    waits.collect()
 }
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -92,6 +92,7 @@
 struct Call {
     id: String,
     address: SocketAddr,
+    target: TargetId,
 }
 
 impl<T: Target> Driver<T> {
@@ -197,6 +198,16 @@
         self.lock().pool.free_slots(clock::now())
     }
 
+    /// Leaving targets and the attempts that they still run, without those that run none.
+    pub(crate) fn draining(&self) -> Vec<(TargetId, u32)> {
+        let inner = self.lock();
+        let is_leaving = |(_, known): &(&TargetId, &Known)| known.spec().state == State::Leaving;
+        let leaving = inner.targets.iter().filter(is_leaving).map(|(&target, _)| target);
+        let in_flight = |target| inner.calls.values().filter(|call| call.target == target).count();
+        let counted = leaving.map(|target| (target, in_flight(target) as u32));
+        counted.filter(|(_, in_flight)| *in_flight > 0).collect()
+    }
+
     /// The expected wait of a request of `flow` that comes now.
     pub(crate) fn expected_wait(&self, flow: Flow) -> Span {
         self.lock().pool.expected_wait(clock::now(), flow)
@@ -275,7 +286,7 @@
             trace: span.context(),
         };
         let request = work.request.clone();
-        inner.calls.insert((ticket, attempt), Call { id, address });
+        inner.calls.insert((ticket, attempt), Call { id, address, target });
         let driver = self.clone();
         let run = async move {
             let result = driver.target.run(address, &request, &call).await;
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -7,7 +7,7 @@
 use ebonypass_core::evidence::Evidence;
 use ebonypass_core::id::{EntryId, SourceId};
 use ebonypass_core::roster::{
-    HEARTBEAT_TIMEOUT, Listed, PoolKey, PoolStatus, Process, Roster, Status,
+    Draining, HEARTBEAT_TIMEOUT, Listed, PoolKey, PoolStatus, Process, Roster, Status,
 };
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_core::version::Follower;
@@ -29,6 +29,8 @@
     links: HashMap<String, Way>,
     seeds: Vec<Arc<Link>>,
     sequence: u64,
+    /// Leaving targets by the entry that still has requests there.
+    draining: HashMap<String, Vec<Draining>>,
     /// Data centres of the entries, by name.
     centres: HashMap<String, String>,
     /// The last heartbeat of each pool's owner, by service and region.
@@ -55,6 +57,7 @@
             links: HashMap::new(),
             seeds: Vec::new(),
             sequence: 0,
+            draining: HashMap::new(),
             centres: HashMap::from([(own_name, data_centre.to_owned())]),
             pools: HashMap::new(),
             evidence: Evidence::new(STATUS_INTERVAL),
@@ -128,6 +131,7 @@
         }
         if let ebonypass_core::roster::Verdict::Fresh(entry) = verdict {
             self.follower.note_status(now, entry, status.version);
+            self.draining.insert(status.process.name.clone(), status.draining.clone());
             self.centres.insert(status.process.name.clone(), status.data_centre.clone());
             let evidence = &mut self.evidence;
             let source = *self.sources.entry(entry).or_insert_with(|| evidence.add(now));
@@ -200,7 +204,14 @@
     }
 
     /// Sends a heartbeat to every peer.
-    pub(crate) fn send_status(&mut self, leaving: bool, pools: Vec<PoolStatus>, epoch: u64) {
+    pub(crate) fn send_status(
+        &mut self,
+        leaving: bool,
+        pools: Vec<PoolStatus>,
+        draining: Vec<Draining>,
+        epoch: u64,
+    ) {
+        self.draining.insert(self.own.name.clone(), draining.clone());
         self.sequence += 1;
         let status = Status {
             process: self.own.clone(),
@@ -210,6 +221,7 @@
             version: self.follower.version(),
             steward_epoch: epoch,
             pools,
+            draining,
         };
         let links = self.links.values().map(|way| &way.link);
         for link in links.chain(&self.seeds) {
@@ -248,6 +260,16 @@
         self.roster.live_in(now, data_centre).map(version).collect()
     }
 
+    /// Requests that live entries still have at the leaving `target`.
+    pub(crate) fn in_flight_at(&self, now: Instant, target: &str) -> u32 {
+        let is_live = |name: &str| {
+            self.roster.entry(name).is_some_and(|entry| self.roster.is_live(now, entry))
+        };
+        let live = self.draining.iter().filter(|(name, _)| is_live(name));
+        let at_target = live.flat_map(|(_, list)| list).filter(|item| item.target == target);
+        at_target.map(|item| item.in_flight).sum()
+    }
+
     /// The way to the entry called `name`.
     pub(crate) fn link(&self, name: &str) -> Option<Arc<Link>> {
         self.links.get(name).map(|way| way.link.clone())
--- a/crates/entry/src/names.rs
+++ b/crates/entry/src/names.rs
@@ -24,6 +24,12 @@
         self.keys.insert(name.to_owned(), key);
         key
     }
+
+    /// The name of `key`, if it was given out.
+    pub(crate) fn name(&self, key: K) -> Option<&str> {
+        let found = self.keys.iter().find(|(_, other)| other.index() == key.index());
+        found.map(|(name, _)| name.as_str())
+    }
 }
 
 impl<K> Default for Names<K> {
--- a/crates/entry/tests/delegates.rs
+++ b/crates/entry/tests/delegates.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use fake::{Mesh, Target, metric, wait_until};
+use fake::{HEADERS, Mesh, POLICY, Target, call, metric, wait_until};
 use serde_json::json;
 use test_case::test_case;
 
@@ -65,3 +65,26 @@
     let vms = |index: usize| metric(rest[index].admin_address(), "vms");
     wait_until("new list", || vms(0) == 1.0 && vms(1) == 1.0);
 }
+
+/// Operators see for how many requests a drain waits, and that it is done.
+#[test]
+fn waiting_drain() {
+    let target = Target::echo("rounds-zurich-1-01");
+    let mesh = Mesh::new("waiting-drain", &FOUR, &[&target], "");
+    target.set_delay(Duration::from_secs(4));
+    let address = mesh.address(0);
+    let headers = format!("{HEADERS}ebonypass-deadline-ms: 9000\r\n");
+    let request = std::thread::spawn(move || {
+        call(address, "POST", "/v1/run/rounds/lookup", &headers, b"x").expect("reply").summary()
+    });
+    wait_until("work in flight", || !target.runs().is_empty());
+    let drain = "\n[[drain]]\ntarget = \"rounds-zurich-1-01\"\n\
+                 from = 2020-01-01T00:00:00Z\nuntil = 2099-01-01T00:00:00Z\n";
+    mesh.store.set_policy(8, &format!("{POLICY}{drain}"));
+    let status =
+        || mesh.store.object("status/zurich-1").map(|(_, value)| value["draining"].clone());
+    let waits = |in_flight: u32| json!([{"subject": "rounds-zurich-1-01", "in_flight": in_flight}]);
+    wait_until("waiting drain", || status() == Some(waits(1)));
+    assert_eq!(request.join().expect("thread"), "200 answered");
+    wait_until("finished drain", || status() == Some(waits(0)));
+}
