Split the replay's model and its ebonypass strategy

Ruled out: child modules; the crate's modules are flat. Change: model keeps the loop and the state; client, attempt, incident and sample hold the four kinds of events; choice the strategies by name. steer keeps the calls of the model; post holds the owners of pools, spill credit and forwarding. Conclusion: no decision changes.

--- /dev/null
+++ b/crates/replay/src/choice.rs
@@ -0,0 +1,29 @@
+//! Strategies by name.
+
+use ebonypass_core::policy::Document;
+
+use crate::baseline::{Direct, Independent, LeastLoaded, RoundRobin};
+use crate::model::run_trace;
+use crate::steer::Steer;
+use crate::tally::Tally;
+use crate::trace::Trace;
+
+/// Names of the strategies.
+pub const STRATEGIES: [&str; 4] = ["ebonypass", "round-robin", "least-loaded", "independent"];
+
+/// Plays `trace` against the strategy called `name`.
+pub fn run_strategy(document: &Document, trace: &Trace, name: &str) -> anyhow::Result<Tally> {
+    Ok(match name {
+        "ebonypass" => run_trace(document, trace, Steer::new(document)),
+        "round-robin" => {
+            run_trace(document, trace, Direct::new(document, RoundRobin::new(document)))
+        }
+        "least-loaded" => {
+            run_trace(document, trace, Direct::new(document, LeastLoaded::new(document)))
+        }
+        "independent" => {
+            run_trace(document, trace, Direct::new(document, Independent::new(document)))
+        }
+        _ => anyhow::bail!("no strategy is called \"{name}\"; there are {}", STRATEGIES.join(", ")),
+    })
+}
--- a/crates/replay/src/goal.rs
+++ b/crates/replay/src/goal.rs
@@ -7,7 +7,7 @@
 use ebonypass_core::policy::Document;
 use ebonypass_core::scan::scan_document;
 
-use crate::model::run_strategy;
+use crate::choice::run_strategy;
 use crate::report::millis;
 use crate::scenario::{make_scenario, scenario_policy, scenario_seconds};
 use crate::tally::{Counts, Tally, ratio};
@@ -152,7 +152,7 @@
     };
     let growths = [growth(0), growth(1), growth(2)];
     Goal {
-        name: "night: the same for the short kind with the largest growth".to_owned(),
+        name: "night: own, stricter: the short kind with the largest growth".to_owned(),
         measured: growths.map(|growth| format!("{growth:.2} x")),
         is_met: growths[0] <= 1.5,
     }
@@ -180,7 +180,7 @@
     });
     let missed = |counts: &Counts| ratio(counts.arrivals - counts.in_time(), counts.arrivals);
     goals.push(Goal {
-        name: "day: the same with refused requests counted in".to_owned(),
+        name: "day: own, stricter: refused requests counted in".to_owned(),
         measured: each(&with, |counts| {
             format!("{:.3}% (not run {})", 100.0 * missed(counts), counts.not_run)
         }),
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -5,14 +5,21 @@
 //! the stated outcomes of docs/design.md, section 1.7.
 
 pub mod agenda;
+mod attempt;
 pub mod baseline;
+pub mod choice;
+mod client;
 pub mod goal;
+mod incident;
 pub mod link;
 pub mod model;
 pub mod plot;
+mod post;
 pub mod report;
+mod sample;
 pub mod scenario;
 pub mod server;
+mod spill;
 pub mod steer;
 pub mod strategy;
 pub mod tally;
--- a/crates/replay/src/steer.rs
+++ b/crates/replay/src/steer.rs
@@ -1,39 +1,26 @@
 //! Drives the pools of `ebonypass-core` as the entries do.
 //!
-//! One entry of a region owns the pool of a service there (docs/design.md, D1). Work that the home
-//! pool refuses goes to another region only against credit (D7). Not modelled: planned shifts,
-//! seats below a link's cap, request keys, and two entries that both believe to own a pool.
+//! Module `post` holds the owners of pools, `spill` the work for other regions. Not modelled:
+//! planned shifts, seats below a link's cap, request keys, and two entries that both believe to own
+//! a pool.
 
-use ebonypass_core::credit::{CREDIT, Granter, Place, Remote, Wallet, choose_place};
-use ebonypass_core::id::{CentreId, EntryId, Key, RegionId, ServiceId, TargetId};
+use ebonypass_core::credit::{Granter, Wallet};
+use ebonypass_core::id::{CentreId, Key, RegionId, TargetId};
 use ebonypass_core::outcome::{Outcome, Reason};
 use ebonypass_core::policy::Document;
 use ebonypass_core::pool::{
-    Action, Attempt, Config, Flow, Job, Load, Pool, Report, Spec, State, Ticket, Verdict,
+    Action, Attempt, Flow, Job, Load, Pool, Report, State, Ticket, Verdict,
 };
 use ebonypass_core::time::{Instant, Span};
-use rustc_hash::FxHashMap;
 
 use crate::agenda::Agenda;
 use crate::link::Links;
+use crate::post::{Post, TAKEOVER};
+use crate::spill::{Frame, owner_of};
 use crate::strategy::{
-    AttemptKey, Command, Inquiry, LoadReport, RequestId, Strategy, nearest_centre, pool_targets,
+    AttemptKey, Command, Inquiry, LoadReport, RequestId, Strategy, nearest_centre,
 };
 
-/// Time after which another entry owns the pools of a dead one (docs/design.md, section 8).
-const TAKEOVER: Span = Span::from_secs(2);
-
-/// A region whose replies wait this long for the link grants no more than it holds, so that the
-/// replies it owes stay within their deadlines. Credit is renewed every 100 ms; with a shorter
-/// backlog the link would run idle between two grants.
-const BACKLOG_HOLD: Span = Span::from_millis(100);
-
-/// A region whose replies wait this long grants nothing.
-const BACKLOG_STOP: Span = Span::from_millis(250);
-
-/// Planned shifts are not modelled, so no request is rolled into one.
-const NO_SHIFT_ROLL: u32 = 0;
-
 /// Numbers of attempts of one ticket are below this, so that each ticket of a request has its own
 /// range of attempt numbers.
 const TICKET_STRIDE: u16 = 256;
@@ -41,52 +28,23 @@
 /// All entries of a deployment.
 #[derive(Debug)]
 pub struct Steer<'a> {
-    document: &'a Document,
-    posts: Vec<Post>,
-    states: Vec<State>,
-    alive: Vec<bool>,
-    records: Vec<Option<Record>>,
-    frames: Agenda<Frame>,
-    ticks: usize,
-}
-
-/// The owner of a pool and what it knows.
-#[derive(Debug)]
-struct Post {
-    service: ServiceId,
-    region: RegionId,
-    targets: Vec<TargetId>,
-    pool: Option<Pool>,
-    owner: CentreId,
-    takeover_at: Option<Instant>,
-    tickets: FxHashMap<Ticket, RequestId>,
-    /// Credit granted to the owners in other regions.
-    granter: Granter,
-    /// Credit granted by each other region.
-    wallets: Vec<Wallet>,
-    /// Until when the pool may hold work of clients of other regions that came here directly.
-    visited_until: Instant,
-    /// How long replies to each other region wait for the link.
-    backlogs: Vec<Span>,
-}
-
-/// A message between the owners of a service's pools in two regions.
-#[derive(Debug, Clone, Copy)]
-enum Frame {
-    /// `from` asks the owner of `post` for credit.
-    Need { post: usize, from: usize, round: u64 },
-    /// `from` grants credit to the owner of `post`.
-    Credit { post: usize, from: usize, round: u64, count: u32 },
+    pub(crate) document: &'a Document,
+    pub(crate) posts: Vec<Post>,
+    pub(crate) states: Vec<State>,
+    pub(crate) alive: Vec<bool>,
+    pub(crate) records: Vec<Option<Record>>,
+    pub(crate) frames: Agenda<Frame>,
+    pub(crate) ticks: usize,
 }
 
 #[derive(Debug, Clone)]
-struct Record {
-    inquiry: Inquiry,
-    home: usize,
+pub(crate) struct Record {
+    pub(crate) inquiry: Inquiry,
+    pub(crate) home: usize,
     /// The region that it was forwarded to and has not come back from.
-    away: Option<RegionId>,
+    pub(crate) away: Option<RegionId>,
     /// Every ticket it had, with its post.
-    tickets: Vec<(usize, Ticket)>,
+    pub(crate) tickets: Vec<(usize, Ticket)>,
 }
 
 impl<'a> Steer<'a> {
@@ -113,61 +71,11 @@
         steer
     }
 
-    fn new_post(&self, service: ServiceId, region: RegionId) -> Post {
-        let centres = self.centres(region);
-        Post {
-            service,
-            region,
-            targets: pool_targets(self.document, service, region),
-            pool: None,
-            owner: centres[service.index() % centres.len()],
-            takeover_at: None,
-            tickets: FxHashMap::default(),
-            granter: Granter::new(),
-            wallets: vec![Wallet::new(); self.document.regions.len()],
-            visited_until: Instant::ZERO,
-            backlogs: vec![Span::ZERO; self.document.regions.len()],
-        }
-    }
-
-    fn new_pool(&self, post: usize, now: Instant) -> Pool {
-        let mut pool = Pool::new(Config::default());
-        for &target in &self.posts[post].targets {
-            pool.set_target(now, target, self.spec(target));
-            let is_distant = self.document.targets[target].centre != self.posts[post].owner;
-            pool.set_prefetch(now, target, is_distant);
-        }
-        pool
-    }
-
-    fn spec(&self, target: TargetId) -> Spec {
-        let slots = self.document.targets[target].slots;
-        Spec { slots, state: self.states[target.index()] }
-    }
-
-    fn centres(&self, region: RegionId) -> Vec<CentreId> {
-        let centres = self.document.centres.iter();
-        centres.filter(|(_, centre)| centre.region == region).map(|(key, _)| key).collect()
-    }
-
-    fn post(&self, service: ServiceId, region: RegionId) -> usize {
-        service.index() * self.document.regions.len() + region.index()
-    }
-
-    fn post_of(&self, target: TargetId) -> usize {
-        let spec = &self.document.targets[target];
-        self.post(spec.service, self.document.region_of(spec.centre))
-    }
-
-    fn delay(&self, from: RegionId, to: RegionId) -> Option<Span> {
-        self.document.link(from, to).map(|link| link.delay)
-    }
-
-    fn record(&self, request: RequestId) -> Option<&Record> {
+    pub(crate) fn record(&self, request: RequestId) -> Option<&Record> {
         self.records.get(request.0 as usize)?.as_ref()
     }
 
-    fn record_mut(&mut self, request: RequestId) -> Option<&mut Record> {
+    pub(crate) fn record_mut(&mut self, request: RequestId) -> Option<&mut Record> {
         self.records.get_mut(request.0 as usize)?.as_mut()
     }
 
@@ -190,15 +98,6 @@
         Ok(())
     }
 
-    /// Tells the pool of `post` whether it serves its own region only.
-    fn note_exclusive(&mut self, now: Instant, post: usize) {
-        let Post { granter, visited_until, pool, .. } = &mut self.posts[post];
-        let is_exclusive = now >= *visited_until && !granter.is_lending(now);
-        if let Some(pool) = pool {
-            pool.set_exclusive(now, is_exclusive);
-        }
-    }
-
     /// Carries out what the pool of `post` has to say.
     fn drain(&mut self, now: Instant, post: usize, out: &mut Vec<Command>) {
         self.note_exclusive(now, post);
@@ -282,131 +181,6 @@
         out.push(Command::Return { request, outcome });
     }
 
-    /// Forwards the request to another region if that is better than `home_wait` at home, nothing
-    /// if the home pool does not run it. Tells whether it did.
-    fn spill(
-        &mut self,
-        now: Instant,
-        request: RequestId,
-        home_wait: Option<Span>,
-        out: &mut Vec<Command>,
-    ) -> bool {
-        let Some(record) = self.record(request) else { return false };
-        let (home, deadline) = (record.home, record.inquiry.deadline);
-        let remotes = self.remotes(now, home, deadline);
-        let Place::Remote(region) = choose_place(NO_SHIFT_ROLL, home_wait, &remotes) else {
-            return false;
-        };
-        if !self.posts[home].wallets[region.index()].take(now) {
-            return false;
-        }
-        let to = self.posts[self.post(self.posts[home].service, region)].owner;
-        if let Some(record) = self.record_mut(request) {
-            record.away = Some(region);
-        }
-        out.push(Command::Forward { request, to });
-        true
-    }
-
-    /// The other regions, those with the most unused credit first.
-    fn remotes(&self, now: Instant, home: usize, deadline: Instant) -> Vec<Remote> {
-        let post = &self.posts[home];
-        let remote = |region: RegionId| {
-            let round_trip = self.delay(post.region, region)?.times(2);
-            let left = post.wallets[region.index()].left(now);
-            let is_in_time = now + round_trip < deadline;
-            Some(Remote { region, percent: 0, left, is_in_time, round_trip })
-        };
-        let regions = self.document.regions.iter().map(|(region, _)| region);
-        let mut remotes: Vec<Remote> = regions.filter_map(remote).collect();
-        remotes.sort_by_key(|remote| std::cmp::Reverse(remote.left));
-        remotes
-    }
-
-    /// Asks the pools of the service in the other regions for credit.
-    fn ask(&mut self, now: Instant, from: usize) {
-        if self.posts[from].pool.is_none() {
-            return;
-        }
-        let (service, region) = (self.posts[from].service, self.posts[from].region);
-        for (other, _) in self.document.regions.iter() {
-            let Some(delay) = self.delay(region, other) else { continue };
-            let round = self.posts[from].wallets[other.index()].ask(now);
-            let post = self.post(service, other);
-            self.frames.add(now + delay, Frame::Need { post, from, round });
-        }
-    }
-
-    /// Notes how long replies from the region of `post` to the others wait for their links.
-    fn note_backlog(&mut self, now: Instant, post: usize, links: &Links) {
-        let region = self.posts[post].region;
-        for (other, _) in self.document.regions.iter() {
-            self.posts[post].backlogs[other.index()] = links.backlog(now, region, other);
-        }
-    }
-
-    /// Answers a question for credit of the owner of the pool `from`.
-    fn grant(&mut self, now: Instant, post: usize, from: usize, round: u64) {
-        let to = self.posts[from].region;
-        let Some(delay) = self.delay(self.posts[post].region, to) else { return };
-        let Some(free) = self.posts[post].pool.as_ref().map(|pool| pool.free_slots(now)) else {
-            return;
-        };
-        let wanted = self.wanted(post, to, free);
-        let count = self.posts[post].granter.grant(now, owner_of(to), wanted, free);
-        self.frames.add(now + delay, Frame::Credit { post: from, from: post, round, count });
-    }
-
-    /// The most that the owner in `to` may hold of the pool of `post`, which has `free` slots: what
-    /// it holds and a share of the free slots. A region that uses its credit gets a larger share.
-    fn wanted(&self, post: usize, to: RegionId, free: u32) -> u32 {
-        let Post { region, granter, backlogs, .. } = &self.posts[post];
-        let regions = self.document.regions.iter().map(|(other, _)| other);
-        let others: Vec<RegionId> =
-            regions.filter(|&other| self.delay(*region, other).is_some()).collect();
-        let held = |other: RegionId| granter.running(owner_of(other));
-        let weights: u32 = others.iter().map(|&other| held(other) + 1).sum();
-        let share = |other: RegionId| free * (held(other) + 1) / weights;
-        let rest = free - others.iter().map(|&other| share(other)).sum::<u32>();
-        let is_turn = others[self.ticks % others.len()] == to;
-        let share = share(to) + if is_turn { rest } else { 0 };
-        match backlogs[to.index()] {
-            backlog if backlog > BACKLOG_STOP => 0,
-            backlog if backlog > BACKLOG_HOLD => held(to),
-            _ => held(to) + share,
-        }
-    }
-
-    fn take_frames(&mut self, now: Instant) {
-        while self.frames.next_at().is_some_and(|at| at <= now)
-            && let Some((_, frame)) = self.frames.take()
-        {
-            match frame {
-                Frame::Need { post, from, round } => self.grant(now, post, from, round),
-                Frame::Credit { post, from, round, count } => {
-                    let region = self.posts[from].region;
-                    self.posts[post].wallets[region.index()].note_credit(round, count, CREDIT);
-                }
-            }
-        }
-    }
-
-    /// Gives pools without an owner to the next entry alive.
-    fn take_over(&mut self, now: Instant) {
-        for index in 0..self.posts.len() {
-            if self.posts[index].takeover_at.is_none_or(|at| at > now) {
-                continue;
-            }
-            self.posts[index].takeover_at = None;
-            let centres = self.centres(self.posts[index].region);
-            let alive = centres.into_iter().find(|centre| self.alive[centre.index()]);
-            if let Some(owner) = alive {
-                self.posts[index].owner = owner;
-                self.posts[index].pool = Some(self.new_pool(index, now));
-            }
-        }
-    }
-
     fn set_target(&mut self, now: Instant, target: TargetId, state: State, out: &mut Vec<Command>) {
         self.states[target.index()] = state;
         let (spec, post) = (self.spec(target), self.post_of(target));
@@ -417,11 +191,6 @@
     }
 }
 
-/// The owner of a service's pool in `region`, as the other owners know it.
-fn owner_of(region: RegionId) -> EntryId {
-    EntryId::from_index(region.index())
-}
-
 fn flow_of(inquiry: &Inquiry) -> Flow {
     Flow { member: inquiry.member, kind: inquiry.kind }
 }
--- a/crates/replay/tests/html_page.rs
+++ b/crates/replay/tests/html_page.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{arrive, document, sized, trace};
-use ebonypass_replay::model::run_strategy;
+use ebonypass_replay::choice::run_strategy;
 use ebonypass_replay::plot::draw_page;
 use ebonypass_replay::report::Report;
 use test_case::test_case;
