Send one request ahead to distant targets in entries too

Ruled out: marking forwarded requests of visiting clients as granted, because that skips the admission check; they carry a mark of their own. Change: drivers tell the pool which targets are distant and whether it serves its own region only: not while another region has credit or work there, while clients of a lost region are served, or while this entry does not own the pool.

--- a/crates/entry/src/afar.rs
+++ b/crates/entry/src/afar.rs
@@ -122,6 +122,11 @@
         place
     }
 
+    /// Whether another region has credit or requests at the own pool of `service`.
+    pub(crate) fn is_lending(&self, now: Instant, service: &str) -> bool {
+        lock(&self.granters).get(service).is_some_and(|granter| granter.is_lending(now))
+    }
+
     /// Takes in that a request at another region has ended.
     pub(crate) fn put(&self, service: &str, region: &str) {
         account(&mut lock(&self.accounts), service, region).wallet.put();
@@ -189,10 +194,14 @@
     }
     let to = members.roster.entry(&from.name)?;
     drop(members);
-    let free = entry.pool(&need.service).free_slots();
+    let driver = entry.pool(&need.service);
+    let free = driver.free_slots();
     let mut granters = lock(&entry.afar.granters);
     let granter = granters.entry(need.service.clone()).or_default();
     let count = granter.grant(now, to, need.count, free);
+    if count > 0 {
+        driver.set_shared(true);
+    }
     let region = view.document.regions[region].name.clone();
     Some(Credit {
         round: need.round,
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -63,6 +63,10 @@
     calls: HashMap<(Ticket, Attempt), Call>,
     targets: HashMap<TargetId, Known>,
     timer_at: Instant,
+    /// Whether another entry or another region may use the pool's slots.
+    is_shared: bool,
+    /// Until when the pool may hold work of clients of other regions that came here directly.
+    visited_until: Instant,
 }
 
 struct Work<B> {
@@ -105,6 +109,8 @@
             calls: HashMap::new(),
             targets: HashMap::new(),
             timer_at: Instant::MAX,
+            is_shared: true,
+            visited_until: Instant::ZERO,
         };
         let inner = Mutex::new(inner);
         let next_id = AtomicU64::new(0);
@@ -135,12 +141,14 @@
         Ok(Waiting { driver: self.clone(), ticket, receiver, is_closed: false })
     }
 
-    /// Adds or changes a target. Returns whether its state changed.
+    /// Adds or changes a target. One that `is_distant`, in another data centre, may get a job ahead.
+    /// Returns whether its state changed.
     pub(crate) fn set_target(
         self: &Arc<Self>,
         target: TargetId,
         address: SocketAddr,
         spec: Spec,
+        is_distant: bool,
     ) -> bool {
         let mut inner = self.lock();
         let before = inner.targets.get(&target);
@@ -152,7 +160,9 @@
         if before == Some(after) {
             return false;
         }
-        inner.pool.set_target(clock::now(), target, after);
+        let now = clock::now();
+        inner.pool.set_target(now, target, after);
+        inner.pool.set_prefetch(now, target, is_distant);
         self.pump(&mut inner);
         before.map(|spec| spec.state) != Some(after.state)
     }
@@ -171,6 +181,20 @@
         gone.len()
     }
 
+    /// Sets whether another entry or another region may use the pool's slots.
+    pub(crate) fn set_shared(&self, is_shared: bool) {
+        let mut inner = self.lock();
+        inner.is_shared = is_shared;
+        inner.update_exclusive();
+    }
+
+    /// Takes in that work of a client of another region comes, which may run until `until`.
+    pub(crate) fn note_visit(&self, until: Instant) {
+        let mut inner = self.lock();
+        inner.visited_until = inner.visited_until.max(until);
+        inner.update_exclusive();
+    }
+
     /// Takes in a target's load report. Returns whether the target now says that it will stop and
     /// did not before.
     pub(crate) fn note_load(self: &Arc<Self>, target: TargetId, load: target::Load) -> bool {
@@ -338,6 +362,12 @@
 }
 
 impl<B> Inner<B> {
+    /// Tells the pool whether it may send jobs ahead.
+    fn update_exclusive(&mut self) {
+        let now = clock::now();
+        self.pool.set_exclusive(now, !self.is_shared && now >= self.visited_until);
+    }
+
     fn tell(&mut self, ticket: Ticket, answer: Answer<B>) {
         if let Some(work) = self.work.remove(&ticket) {
             // The requester may have gone away in the meantime.
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -53,6 +53,8 @@
     pub(crate) request: &'a Request,
     pub(crate) deadline: Instant,
     pub(crate) trace: Trace,
+    /// Whether the client belongs to another region and came here because its own is gone.
+    pub(crate) is_visit: bool,
     /// The links and the region to which it goes, if that is another one.
     pub(crate) way: Option<(&'a Border, &'a str)>,
 }
@@ -131,6 +133,7 @@
         content_type: request.content_type.clone(),
         length: request.body.len() as u32,
         is_remote: parcel.way.is_some(),
+        is_visit: parcel.is_visit,
     }
 }
 
@@ -215,7 +218,11 @@
     });
     let job =
         Job { flow: terms.flow, deadline: clock::now() + head.left, idempotent: terms.idempotent };
-    let waiting = entry.pool(&request.service).offer(job, request, trace, head.is_remote)?;
+    let driver = entry.pool(&request.service);
+    if head.is_visit {
+        driver.note_visit(job.deadline);
+    }
+    let waiting = driver.offer(job, request, trace, head.is_remote)?;
     // When the other side goes away, dropping `waiting` tells the pool.
     let answer = async { Some(waiting.answer().await) };
     let stopped = async {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -347,6 +347,7 @@
             request: &call.request,
             deadline: call.deadline,
             trace: call.trace,
+            is_visit: call.is_visit(),
             way,
         }
     }
@@ -364,6 +365,9 @@
         let idempotent = call.request.idempotent;
         let job = Job { flow: call.terms.flow, deadline: call.deadline, idempotent };
         let driver = self.0.pool(&call.request.service);
+        if call.is_visit() {
+            driver.note_visit(call.deadline);
+        }
         match driver.offer(job, call.request.clone(), call.trace, false) {
             Ok(waiting) => waiting.answer().await.map(Rest::Target),
             Err(reason) => Answer::Failed(reason),
@@ -376,6 +380,11 @@
     fn may_repeat(&self) -> bool {
         self.request.idempotent && clock::now() < self.deadline
     }
+
+    /// Whether the client belongs to another region and came here because its own is gone.
+    fn is_visit(&self) -> bool {
+        self.region.is_some_and(|region| region != self.client_region)
+    }
 }
 
 fn outcome_of<B>(answer: &Answer<B>) -> Outcome {
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -136,6 +136,7 @@
         let owned = owned_pools(&entry);
         for (service, driver) in entry.pools() {
             let is_owned = owned.iter().any(|pool| pool.service == service);
+            driver.set_shared(!is_owned || entry.afar.is_lending(clock::now(), &service));
             if !is_owned && driver.len() == 0 {
                 continue;
             }
@@ -196,7 +197,8 @@
         let target = lock(&entry.names).targets.key(&vm.name);
         listed.insert(target);
         let spec = Spec { slots: slots.unwrap_or(1), state };
-        if entry.pool(service).set_target(target, vm.address, spec) {
+        let is_distant = vm.data_centre != entry.settings.data_centre;
+        if entry.pool(service).set_target(target, vm.address, spec, is_distant) {
             let event = if is_leaving { Event::TargetLeaving } else { Event::TargetFound };
             note(event, format_args!("{} at {}", vm.name, vm.address));
         }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -57,6 +57,8 @@
     pub length: u32,
     /// Whether the request came from another region, against credit.
     pub is_remote: bool,
+    /// Whether the client belongs to another region and came here because its own is gone.
+    pub is_visit: bool,
 }
 
 /// The answer to [`Forward`]. The body of an answered request follows the frame.
--- a/crates/node/tests/wire.rs
+++ b/crates/node/tests/wire.rs
@@ -16,6 +16,7 @@
         content_type: None,
         length: 7,
         is_remote: false,
+        is_visit: true,
     })
 }
 
