Take escaped look-ups, refuse the own address as a peer, note the store's return at once

Change: form_urlencoded reads the query; the setting is refused; a VM list that was read counts as success. Figures: tests escaped_lookup and named_fault (own address) fail before and pass after.

--- a/crates/entry/src/delegate.rs
+++ b/crates/entry/src/delegate.rs
@@ -93,6 +93,7 @@
 async fn read_list<S: Store, T: Target>(entry: &Entry<S, T>) {
     match entry.store.vms().await {
         Ok(vms) => {
+            entry.note_store(true);
             note_vms(entry, vms);
             *lock(&entry.vms_at) = Some(clock::now());
         }
--- a/crates/entry/src/lookup.rs
+++ b/crates/entry/src/lookup.rs
@@ -1,5 +1,6 @@
 //! Answers `GET /v1/lookup`.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 
 use ebonypass_core::key::{Journal, Token};
@@ -58,10 +59,11 @@
         let view = entry.view()?;
         let member = scan_field(query, "member").ok_or(Reason::UnknownMember)?;
         let service = scan_field(query, "service").ok_or(Reason::UnknownService)?;
-        let block = scan_field(query, "block").and_then(scan_block).ok_or(Reason::UnknownBlock)?;
+        let block = scan_field(query, "block").ok_or(Reason::UnknownBlock)?;
+        let block = scan_block(&block).ok_or(Reason::UnknownBlock)?;
         let centre = view.centre(block)?;
         let region = view.document.region_of(centre);
-        let service = view.check_member(member, service)?;
+        let service = view.check_member(&member, &service)?;
         let now = clock::now();
         let vms = entry.vms.load();
         let members = lock(&entry.members);
@@ -112,7 +114,8 @@
     }
 }
 
-/// The value of `name` in a query string. Names and blocks need no escapes but `%2F`.
-fn scan_field<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    query.split('&').find_map(|field| field.strip_prefix(name)?.strip_prefix('='))
+/// The value of `name` in a query string.
+fn scan_field<'a>(query: &'a str, name: &str) -> Option<Cow<'a, str>> {
+    let mut fields = form_urlencoded::parse(query.as_bytes());
+    fields.find_map(|(field, value)| (field == name).then_some(value))
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -94,6 +94,9 @@
         if self.peers.iter().any(|peer| peer.port() == 0) {
             return Err(Fault::new("peers", "port 0"));
         }
+        if self.peers.contains(&self.peer_listen) {
+            return Err(Fault::new("peers", "the own peer_listen"));
+        }
         let listens = [
             ("caller_listen", self.caller_listen),
             ("peer_listen", self.peer_listen),
--- a/crates/entry/tests/serve.rs
+++ b/crates/entry/tests/serve.rs
@@ -44,6 +44,16 @@
     assert!(target.runs().is_empty());
 }
 
+/// Client libraries escape the values of a query; the block's slash then comes as `%2F`.
+#[test]
+fn escaped_lookup() {
+    let target = Target::echo("rounds-zurich-1-01");
+    let world = World::new("escaped-lookup", &[&target], "");
+    let path = "/v1/lookup?member=windelrunde&service=rounds&block=10.1.0.0%2F24";
+    let got = call(world.address(), "GET", path, "", b"").expect("reply");
+    assert_eq!(got.status, 200);
+}
+
 /// What a refused look-up says.
 #[test_case("member=windelrunde&service=rounds&block=10.9.0.0/24", "EP-2004"; "block")]
 #[test_case("member=windelrunde&service=rounds&block=10.1.0.0", "EP-2004"; "no prefix")]
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -49,6 +49,7 @@
 #[test_case("\"127.0.0.1:7100\"", "\"127.0.0.1:7000\"", "peer_listen"; "same address")]
 #[test_case("\"127.0.0.1:6000\"", "\"127.0.0.1:0\"", "store"; "port")]
 #[test_case("[\"127.0.0.1:7101\"]", "[\"127.0.0.1:0\"]", "peers"; "peer port")]
+#[test_case("[\"127.0.0.1:7101\"]", "[\"127.0.0.1:7100\"]", "peers"; "own address")]
 #[test_case("key = \"zurich-1-a.key\"", "key = \"none.key\"", "tls.key"; "no key file")]
 #[test_case("key = \"zurich-1-a.key\"", "", "tls.key"; "no key")]
 #[test_case("level = \"info\"", "level = \"all\"", "log.level"; "level")]
