Fit the console's text fields to their content

Cause: seen in a picture of the page Services: the targets by data centre were cut off after 20 characters. Change: fields are 12 to 48 characters wide, as long as their text.

--- a/crates/console/src/form.rs
+++ b/crates/console/src/form.rs
@@ -122,6 +122,10 @@
     format!("<div class=\"fault\" id=\"{id}fault\">{}</div>", lines.join("<br>"))
 }
 
+/// Width of the narrowest and the widest text field, in characters.
+const MIN_WIDTH: usize = 12;
+const MAX_WIDTH: usize = 48;
+
 fn render_input(column: &Column, id: &str, text: &str, is_faulty: bool) -> String {
     let label = Escaped(column.label);
     let faulty = match is_faulty {
@@ -132,9 +136,11 @@
         Input::Flag => &["true", "false"],
         Input::Choice(choices) => choices,
         _ => {
+            let size = text.chars().count().clamp(MIN_WIDTH, MAX_WIDTH);
             let text = Escaped(text);
             return format!(
-                "<input type=\"text\" name=\"{id}\" aria-label=\"{label}\" value=\"{text}\"{faulty}>"
+                "<input type=\"text\" name=\"{id}\" size=\"{size}\" aria-label=\"{label}\" \
+                 value=\"{text}\"{faulty}>"
             );
         }
     };
--- a/crates/console/src/html.rs
+++ b/crates/console/src/html.rs
@@ -30,7 +30,7 @@
 nav form { display: inline; }
 table { border-collapse: collapse; margin: 1rem 0; }
 th, td { border: 1px solid #bbb; padding: .25rem .5rem; text-align: left; vertical-align: top; }
-input[type=text], input[type=password] { width: 100%; min-width: 7rem; box-sizing: border-box; }
+input[type=password] { width: 100%; min-width: 7rem; box-sizing: border-box; }
 .fault { color: #a00000; font-weight: bold; }
 .faulty { outline: 2px solid #a00000; }
 .notice { background: #eef3fb; border-left: 4px solid #3465a4; padding: .5rem 1rem; }
