Split the reader of policy documents and drop the console's copy of the submission driver

Change: field.rs (typed fields), date.rs (Unix time both ways); the console calls ebonypass_node::submit. Conclusion: no change of behaviour.

--- a/crates/cli/src/drain.rs
+++ b/crates/cli/src/drain.rs
@@ -4,9 +4,9 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use ebonypass_core::date::{UnixTime, scan_time};
 use ebonypass_core::policy::Document;
-use ebonypass_core::scan::{scan_document, scan_time};
-use ebonypass_core::text::UnixTime;
+use ebonypass_core::scan::scan_document;
 use ebonypass_node::store::Http;
 use ebonypass_node::submit::read_policy;
 use toml_edit::{DocumentMut, Table};
--- a/crates/console/src/draft.rs
+++ b/crates/console/src/draft.rs
@@ -1,7 +1,7 @@
 //! The document that an operator edits, as text fields.
 
+use ebonypass_core::date::UnixTime;
 use ebonypass_core::policy::{Document, Service, Subject};
-use ebonypass_core::text::UnixTime;
 
 use crate::section::{DRAIN, KIND, LIMIT, SECTIONS, SERVICE, SHIFT};
 
--- a/crates/console/src/server.rs
+++ b/crates/console/src/server.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ebonypass_core::submission::{Author, Settled};
+use ebonypass_core::submission::{Author, Settled, Submission};
 use ebonypass_core::text::write_document;
 use ebonypass_node::metric::Page;
 use ebonypass_node::store::Http;
@@ -238,7 +238,8 @@
         let Some(id) = new_secret() else { return conn.with_status(500).halt() };
         let author = Author { submission: id, operator: session.operator.clone() };
         let text = write_document(&document);
-        let settled = submit::submit(&self.store, author.clone(), text, base).await;
+        let submission = Submission::new(author.clone(), text).with_base(base);
+        let settled = ebonypass_node::submit::submit(&self.store, submission).await;
         let result = match settled {
             Settled::Accepted => "accepted",
             Settled::Refused { .. } => "refused",
--- a/crates/core/src/scan.rs
+++ b/crates/core/src/scan.rs
@@ -5,24 +5,21 @@
 
 use std::net::Ipv4Addr;
 
-use toml::Spanned;
-use toml::de::{DeTable, DeValue};
+use toml::de::DeTable;
 
 use crate::check::check_document;
 use crate::fault::{Code, Fault};
-use crate::id::{CentreId, KindId, MemberId, RegionId, ServiceId, TargetId};
+use crate::field::Place;
+use crate::id::{KindId, ServiceId};
 use crate::policy::{
-    Block, Centre, DEFAULT_SEATS, Document, Drain, Kind, Link, Member, Placement, Region, SCHEMA,
-    Service, Shift, Subject,
+    Block, Centre, DEFAULT_SEATS, Document, Drain, Kind, Link, Member, Region, SCHEMA, Service,
+    Shift, Subject,
 };
 use crate::time::Span;
 
 /// The largest document in bytes: the store's largest value less room for the envelope.
 pub const MAX_DOCUMENT: usize = 1_000_000 - 4_096;
 
-/// Names are at most this long, so that target names fit a header.
-const MAX_NAME: usize = 48;
-
 /// Checks `text` and returns the document or every fault in it, ordered by line.
 pub fn scan_document(text: &str) -> Result<Document, Vec<Fault>> {
     let mut scan = Scan::new(text);
@@ -51,17 +48,6 @@
     1 + before.iter().filter(|&&byte| byte == b'\n').count() as u32
 }
 
-/// Whether `name` has only the characters that names may have.
-fn is_name(name: &str) -> bool {
-    let inner = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
-    let edge = |byte: Option<&u8>| byte.is_some_and(|&byte| byte != b'-');
-    let bytes = name.as_bytes();
-    bytes.len() <= MAX_NAME
-        && bytes.iter().all(|&byte| inner(byte))
-        && edge(bytes.first())
-        && edge(bytes.last())
-}
-
 /// Scans `a.b.c.d/n`.
 fn scan_cidr(text: &str) -> Option<(Ipv4Addr, u8)> {
     let (address, prefix) = text.split_once('/')?;
@@ -72,29 +58,6 @@
     ((8..=24).contains(&prefix) && is_network).then_some((address, prefix))
 }
 
-/// Days from 1970-01-01 to a date of the Gregorian calendar.
-fn days_from_epoch(year: i64, month: i64, day: i64) -> i64 {
-    // Years start in March here, so that the leap day is the last day of a year.
-    let year = if month <= 2 { year - 1 } else { year };
-    let era = year.div_euclid(400);
-    let year_of_era = year.rem_euclid(400);
-    let day_of_year = (153 * ((month + 9) % 12) + 2) / 5 + day - 1;
-    let day_of_era = year_of_era * 365 + year_of_era / 4 - year_of_era / 100 + day_of_year;
-    era * 146_097 + day_of_era - 719_468
-}
-
-/// Scans a date and time with an offset, as `2026-12-05T02:00:00Z`, into seconds of Unix time.
-pub fn scan_time(text: &str) -> Option<u64> {
-    text.parse().ok().as_ref().and_then(unix_seconds)
-}
-
-/// A table of the document together with the place where it starts.
-#[derive(Clone, Copy)]
-struct Place<'a> {
-    table: &'a DeTable<'a>,
-    at: usize,
-}
-
 /// The document under construction, its faults, and where its entries stand.
 pub(crate) struct Scan<'a> {
     text: &'a str,
@@ -343,239 +306,4 @@
         self.document.blocks.push(Block { network, prefix, centre });
         self.blocks_at.push(place.at);
     }
-
-    /// Calls `scan_one` for each table of the array of tables `key`.
-    fn each(
-        &mut self,
-        place: Place<'_>,
-        key: &str,
-        mut scan_one: impl FnMut(&mut Scan<'a>, Place<'_>),
-    ) {
-        let Some(value) = place.table.get(key) else { return };
-        let Some(array) = value.get_ref().as_array() else {
-            return self.wrong_type(key, value, "an array of tables");
-        };
-        for item in array.iter() {
-            if let Some(table) = self.table(key, item) {
-                scan_one(self, table);
-            }
-        }
-    }
-
-    fn table<'t>(&mut self, key: &str, value: &'t Spanned<DeValue<'t>>) -> Option<Place<'t>> {
-        match value.get_ref().as_table() {
-            Some(table) => Some(Place { table, at: value.span().start }),
-            None => {
-                self.wrong_type(key, value, "a table");
-                None
-            }
-        }
-    }
-
-    /// Faults each key of `place` that is not in `known`.
-    fn allow(&mut self, place: Place<'_>, known: &[&str]) {
-        for key in place.table.keys() {
-            if !known.contains(&key.get_ref().as_ref()) {
-                let message = format!("unknown field `{}`", key.get_ref());
-                let hint = format!("known here: {}", known.join(", "));
-                self.fault(key.span().start, Code::UnknownField, message, hint);
-            }
-        }
-    }
-
-    /// The place of the value of `key`, or of the table if there is none.
-    fn at(&self, place: Place<'_>, key: &str) -> usize {
-        place.table.get(key).map_or(place.at, |value| value.span().start)
-    }
-
-    fn value<'t>(&mut self, place: Place<'t>, key: &str) -> Option<&'t Spanned<DeValue<'t>>> {
-        let value = place.table.get(key);
-        if value.is_none() {
-            let message = format!("field `{key}` is missing");
-            self.fault(place.at, Code::MissingField, message, "add it to this table");
-        }
-        value
-    }
-
-    fn wrong_type(&mut self, key: &str, value: &Spanned<DeValue<'_>>, expected: &str) {
-        let message = format!("`{key}` is a {}", value.get_ref().type_str());
-        self.fault(value.span().start, Code::WrongType, message, format!("expected {expected}"));
-    }
-
-    fn duplicate(&mut self, place: Place<'_>, key: &str, name: &str) {
-        let message = format!("`{name}` stands twice");
-        self.fault(self.at(place, key), Code::Duplicate, message, "remove or rename one of them");
-    }
-
-    fn string(&mut self, place: Place<'_>, key: &str) -> Option<String> {
-        let value = self.value(place, key)?;
-        let text = value.get_ref().as_str();
-        if text.is_none() {
-            self.wrong_type(key, value, "a string");
-        }
-        text.map(str::to_owned)
-    }
-
-    fn boolean(&mut self, place: Place<'_>, key: &str) -> Option<bool> {
-        let value = self.value(place, key)?;
-        let flag = value.get_ref().as_bool();
-        if flag.is_none() {
-            self.wrong_type(key, value, "true or false");
-        }
-        flag
-    }
-
-    fn integer(
-        &mut self,
-        place: Place<'_>,
-        key: &str,
-        range: std::ops::RangeInclusive<u64>,
-    ) -> Option<u64> {
-        let value = self.value(place, key)?;
-        self.integer_of(key, value, range)
-    }
-
-    fn integer_of(
-        &mut self,
-        key: &str,
-        value: &Spanned<DeValue<'_>>,
-        range: std::ops::RangeInclusive<u64>,
-    ) -> Option<u64> {
-        let Some(integer) = value.get_ref().as_integer() else {
-            self.wrong_type(key, value, "a whole number");
-            return None;
-        };
-        let number = i128::from_str_radix(integer.as_str(), integer.radix()).ok();
-        let number = number.and_then(|number| u64::try_from(number).ok());
-        let number = number.filter(|number| range.contains(number));
-        if number.is_none() {
-            let message = format!("`{key}` is out of range");
-            let hint = format!("from {} to {}", range.start(), range.end());
-            self.fault(value.span().start, Code::OutOfRange, message, hint);
-        }
-        number
-    }
-
-    /// A date and time with an offset, as seconds of Unix time.
-    fn datetime(&mut self, place: Place<'_>, key: &str) -> Option<u64> {
-        let value = self.value(place, key)?;
-        let seconds = value.get_ref().as_datetime().and_then(unix_seconds);
-        if seconds.is_none() {
-            self.wrong_type(key, value, "a date and time with offset, as 2026-12-05T02:00:00Z");
-        }
-        seconds
-    }
-
-    fn name(&mut self, place: Place<'_>, key: &str) -> Option<String> {
-        let name = self.string(place, key)?;
-        if is_name(&name) {
-            return Some(name);
-        }
-        let message = format!("`{name}` is not a name");
-        let hint = format!("a-z, 0-9 and inner `-`, at most {MAX_NAME} characters");
-        self.fault(self.at(place, key), Code::BadName, message, hint);
-        None
-    }
-
-    fn unknown_name(&mut self, at: usize, what: &str, name: &str, known: impl Into<String>) {
-        let message = format!("no {what} is called `{name}`");
-        self.fault(at, Code::UnknownName, message, known);
-    }
-
-    fn region(&mut self, place: Place<'_>, key: &str) -> Option<RegionId> {
-        let name = self.string(place, key)?;
-        let region = self.document.region(&name);
-        if region.is_none() {
-            let known = known_names(self.document.regions.values().map(|region| &region.name));
-            self.unknown_name(self.at(place, key), "region", &name, known);
-        }
-        region
-    }
-
-    fn centre(&mut self, place: Place<'_>, key: &str) -> Option<CentreId> {
-        let name = self.string(place, key)?;
-        self.centre_of(self.at(place, key), &name)
-    }
-
-    fn centre_of(&mut self, at: usize, name: &str) -> Option<CentreId> {
-        let centre = self.document.centre(name);
-        if centre.is_none() {
-            let known = known_names(self.document.centres.values().map(|centre| &centre.name));
-            self.unknown_name(at, "data centre", name, known);
-        }
-        centre
-    }
-
-    fn target(&mut self, place: Place<'_>, key: &str) -> Option<TargetId> {
-        let name = self.string(place, key)?;
-        let target = self.document.target(&name);
-        if target.is_none() {
-            let hint = "targets are called <service>-<data centre>-<NN>";
-            self.unknown_name(self.at(place, key), "target", &name, hint);
-        }
-        target
-    }
-
-    fn member_list(&mut self, place: Place<'_>) -> Vec<MemberId> {
-        let Some(value) = self.value(place, "members") else { return Vec::new() };
-        let Some(array) = value.get_ref().as_array() else {
-            self.wrong_type("members", value, "an array of member names");
-            return Vec::new();
-        };
-        let mut members = Vec::new();
-        for item in array.iter() {
-            let Some(name) = item.get_ref().as_str() else {
-                self.wrong_type("members", item, "a member name");
-                continue;
-            };
-            match self.document.member(name) {
-                Some(member) if members.contains(&member) => {
-                    let message = format!("`{name}` stands twice");
-                    self.fault(item.span().start, Code::Duplicate, message, "remove one of them");
-                }
-                Some(member) => members.push(member),
-                None => {
-                    let members = self.document.members.values();
-                    let known = known_names(members.map(|member| &member.name));
-                    self.unknown_name(item.span().start, "member", name, known);
-                }
-            }
-        }
-        members
-    }
-
-    fn placement(&mut self, place: Place<'_>) -> Vec<Placement> {
-        let Some(value) = self.value(place, "targets") else { return Vec::new() };
-        let Some(targets) = self.table("targets", value) else { return Vec::new() };
-        let mut placement = Vec::new();
-        for (name, count) in targets.table.iter() {
-            let centre = self.centre_of(name.span().start, name.get_ref());
-            let count = self.integer_of(name.get_ref(), count, 0..=99);
-            if let (Some(centre), Some(count)) = (centre, count) {
-                placement.push(Placement { centre, count: count as u32 });
-            }
-        }
-        placement.sort_by_key(|placement| placement.centre);
-        placement
-    }
-}
-
-/// The hint that lists `names`.
-fn known_names<'n>(names: impl Iterator<Item = &'n String>) -> String {
-    let names: Vec<&str> = names.map(String::as_str).collect();
-    format!("the document has: {}", names.join(", "))
-}
-
-/// Seconds of Unix time, if the value has a date, a time and an offset and is not before 1970.
-fn unix_seconds(value: &toml::value::Datetime) -> Option<u64> {
-    let date = value.date?;
-    let time = value.time?;
-    let offset_minutes = match value.offset? {
-        toml::value::Offset::Z => 0,
-        toml::value::Offset::Custom { minutes } => i64::from(minutes),
-    };
-    let days = days_from_epoch(date.year.into(), date.month.into(), date.day.into());
-    let minutes = i64::from(time.hour) * 60 + i64::from(time.minute) - offset_minutes;
-    let seconds = days * 86_400 + minutes * 60 + i64::from(time.second.unwrap_or(0));
-    u64::try_from(seconds).ok()
 }
--- a/crates/core/src/text.rs
+++ b/crates/core/src/text.rs
@@ -5,6 +5,7 @@
 
 use std::fmt::{self, Write};
 
+use crate::date::UnixTime;
 use crate::policy::{Document, SCHEMA, Service, Subject};
 
 /// The text of `document`. [`crate::scan::scan_document`] gives the same document back.
@@ -92,31 +93,3 @@
     }
     Ok(())
 }
-
-/// Seconds of Unix time, shown as a TOML date and time in UTC.
-#[derive(Debug, Clone, Copy)]
-pub struct UnixTime(pub u64);
-
-impl fmt::Display for UnixTime {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (year, month, day) = date_of(self.0 / 86_400);
-        let second = self.0 % 86_400;
-        let (hour, minute) = (second / 3_600, second / 60 % 60);
-        write!(f, "{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{:02}Z", second % 60)
-    }
-}
-
-/// Year, month and day of the Gregorian calendar, `days` after 1970-01-01.
-fn date_of(days: u64) -> (u64, u64, u64) {
-    // Years start in March here, so that the leap day is the last day of a year.
-    let days = days + 719_468;
-    let day_of_era = days % 146_097;
-    let year_of_era =
-        (day_of_era - day_of_era / 1_460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
-    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
-    let shifted_month = (5 * day_of_year + 2) / 153;
-    let day = day_of_year - (153 * shifted_month + 2) / 5 + 1;
-    let month = if shifted_month < 10 { shifted_month + 3 } else { shifted_month - 9 };
-    let year = days / 146_097 * 400 + year_of_era + u64::from(month <= 2);
-    (year, month, day)
-}
--- a/crates/core/tests/policy.rs
+++ b/crates/core/tests/policy.rs
@@ -1,8 +1,9 @@
 //! Reading, checking and writing policy documents.
 
+use ebonypass_core::date::UnixTime;
 use ebonypass_core::fault::Code;
 use ebonypass_core::scan::scan_document;
-use ebonypass_core::text::{UnixTime, write_document};
+use ebonypass_core::text::write_document;
 use test_case::test_case;
 
 const BASE: &str = r#"
