Send most heartbeats within the data centre

Cause: each machine sent its round to three machines of the whole fleet.

Ruled out: replies to callers (they stay in the region of the target's order as before), the mirror of the store (one question a second).

Change: three machines of the own data centre a round, and one elsewhere every second round; a machine with fewer than three neighbours fills up from elsewhere as before.

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -21,6 +21,9 @@
 pub const FAN_OUT: usize = 3;
 const FAN_OUT_MACHINES: usize = 50;
 const FAN_OUT_LIMIT: usize = 8;
+/// A machine with at least [`FAN_OUT`] others in its data centre sends a message to another data
+/// centre in one round of so many only, since bytes between data centres are priced.
+const FAR_ROUNDS: usize = 2;
 /// Heartbeats that a message carries, which keeps it within one datagram of 1,500 bytes.
 pub const MESSAGE_BEATS: usize = 80;
 /// Machines that a message describes in full beside its sender: a few, or more in a reply, which
@@ -274,16 +277,24 @@
         names
     }
 
-    /// Machines to send this round's message to: [`FAN_OUT`] live ones, and one that seems dead, so
-    /// that a healed partition is noticed. `random` gives a number below its argument.
+    /// Machines to send this round's message to: live ones, most of them in the own data centre, and
+    /// one that seems dead, so that a healed partition is noticed. `random` gives a number below its
+    /// argument.
     pub fn targets(&self, now: Instant, mut random: impl FnMut(usize) -> usize) -> Vec<IpAddr> {
         let (mut live, mut dead): (Vec<&Known>, Vec<&Known>) =
             self.peers.values().partition(|known| known.is_live(now));
         live.sort_unstable_by_key(|known| known.peer.address);
         dead.sort_unstable_by_key(|known| known.peer.address);
         let fan_out = (live.len() / FAN_OUT_MACHINES).clamp(FAN_OUT, FAN_OUT_LIMIT);
-        sample(&mut live, fan_out, &mut random);
+        let (mut near, mut far): (Vec<&Known>, Vec<&Known>) =
+            live.into_iter().partition(|known| known.peer.centre == self.own.centre);
+        sample(&mut near, fan_out, &mut random);
+        let far_count = match FAN_OUT.saturating_sub(near.len()) {
+            0 => usize::from(random(FAR_ROUNDS) == 0),
+            missing => missing,
+        };
+        sample(&mut far, far_count, &mut random);
         sample(&mut dead, 1, &mut random);
-        live.into_iter().chain(dead).map(|known| known.peer.address).collect()
+        near.into_iter().chain(far).chain(dead).map(|known| known.peer.address).collect()
     }
 }
--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -8,11 +8,14 @@
 use ebonypass_core::time::{Instant, Span};
 use test_case::test_case;
 
+/// Data centres of a fleet.
+const CENTRES: u16 = 6;
+
 fn peer(index: u16) -> Peer {
     Peer {
         name: format!("vm-{index}"),
         address: IpAddr::V4(Ipv4Addr::new(10, 0, (index >> 8) as u8, index as u8)),
-        centre: "a".to_owned(),
+        centre: format!("centre-{}", index % CENTRES),
         beat: Beat { is_ready: true, ..Beat::at_start(0) },
     }
 }
@@ -27,12 +30,19 @@
     members.message(Instant::ZERO, Form::Round, |_| 0)
 }
 
+fn centre(members: &HashMap<IpAddr, Members>, address: IpAddr) -> &str {
+    &members[&address].own().centre
+}
+
 /// A fleet whose machines all know the first one at the start.
 struct Fleet {
     now: Instant,
     members: HashMap<IpAddr, Members>,
     down: HashSet<IpAddr>,
     seed: u64,
+    /// Messages sent, and those of them to another data centre.
+    sent: usize,
+    far: usize,
 }
 
 impl Fleet {
@@ -46,7 +56,7 @@
             knows.take(Instant::ZERO, message(&Members::new(Instant::ZERO, first.clone())));
             members.insert(address, knows);
         }
-        Fleet { now: Instant::ZERO, members, down: HashSet::new(), seed: 7 }
+        Fleet { now: Instant::ZERO, members, down: HashSet::new(), seed: 7, sent: 0, far: 0 }
     }
 
     fn random(&mut self, limit: usize) -> usize {
@@ -56,7 +66,6 @@
 
     /// Plays `rounds`; every `loss`-th message is lost.
     fn play(&mut self, rounds: usize, loss: usize) {
-        let mut sent = 0;
         for _ in 0..rounds {
             let mut addresses: Vec<IpAddr> = self.members.keys().copied().collect();
             addresses.sort_unstable();
@@ -77,8 +86,10 @@
                 let form = if wants_reply { Form::Question } else { Form::Round };
                 let message = own.message(now, form, &mut random);
                 for to in targets {
-                    sent += 1;
-                    let is_lost = loss > 0 && sent % loss == 0;
+                    self.sent += 1;
+                    self.far +=
+                        usize::from(centre(&self.members, from) != centre(&self.members, to));
+                    let is_lost = loss > 0 && self.sent % loss == 0;
                     if !is_lost && !self.down.contains(&to) {
                         let other = self.members.get_mut(&to).unwrap();
                         other.take(now, message.clone());
@@ -113,6 +124,18 @@
     }
 }
 
+/// Bytes between data centres are priced; messages to machines picked from the whole fleet were half
+/// of all that went between regions.
+#[test_case(72)]
+#[test_case(84)]
+fn most_messages_stay_in_their_data_centre(size: u16) {
+    let mut fleet = Fleet::new(size);
+    fleet.play(50, 0);
+    (fleet.sent, fleet.far) = (0, 0);
+    fleet.play(50, 0);
+    assert!(fleet.far * 5 <= fleet.sent, "{} of {}", fleet.far, fleet.sent);
+}
+
 #[test]
 fn a_dead_machine_is_dropped_in_time() {
     let mut fleet = Fleet::new(30);
