--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -150,7 +150,10 @@
     targets: Arena<TargetId, Target>,
     names: HashMap<String, TargetId>,
     evacuated: HashSet<String>,
+    /// The shortest ways measured to targets in other regions and in the own one: those not measured
+    /// yet are taken to be as near, or they would never be tried.
     far_way_ms: f64,
+    near_way_ms: f64,
     attempts: u64,
     machine: String,
     machines: Vec<String>,
@@ -227,6 +230,7 @@
             names: HashMap::new(),
             evacuated: HashSet::new(),
             far_way_ms: FAR_WAY_MS,
+            near_way_ms: NEAR_WAY_MS,
             attempts: 0,
             machines: vec![config.machine.clone()],
             machine: config.machine,
@@ -441,8 +445,7 @@
             let is_full = busy >= slots * (1.0 + waiting);
             let mean_ms = service.mean_ms.unwrap_or(aim_ms) * factor;
             let wait_ms = (busy + 1.0 - slots).max(0.0) / slots * mean_ms;
-            let way =
-                target.way_ms.unwrap_or(if target.is_far { self.far_way_ms } else { NEAR_WAY_MS });
+            let way = self.way_ms(target);
             let mut total_ms = way + wait_ms + work_ms;
             total_ms += if target.is_far { FAR_PENALTY_MS } else { 0.0 };
             total_ms += target.failures(now) * FAILURE_PENALTY * work_ms;
@@ -530,12 +533,11 @@
 
     /// Takes in how long an attempt took, if it did not wait for a slot.
     fn learn_time(&mut self, now: Instant, id: TargetId, run: &Running) {
+        let way = self.way_ms(&self.targets[id]);
         let target = &mut self.targets[id];
         if run.is_queued || target.is_cold(now) {
             return;
         }
-        let way =
-            target.way_ms.unwrap_or(if target.is_far { self.far_way_ms } else { NEAR_WAY_MS });
         let ms = (as_ms(now.since(run.start)) - way).max(0.5);
         let usual_ms = self.services[target.service].learn(run, ms);
         let ratio = (ms / usual_ms).clamp(0.25, 8.0);
@@ -557,6 +559,12 @@
         *usual += SERVICE_WEIGHT * (others - *usual);
     }
 
+    /// The way to a target and back.
+    fn way_ms(&self, target: &Target) -> f64 {
+        let first_ms = if target.is_far { self.far_way_ms } else { self.near_way_ms };
+        target.way_ms.unwrap_or(first_ms)
+    }
+
     /// Takes in the time that a connection to the target took, which is the way there and back.
     pub fn note_way(&mut self, id: TargetId, way: Span) {
         let target = &mut self.targets[id];
@@ -564,6 +572,8 @@
         target.way_ms = Some(target.way_ms.map_or(ms, |before| before.min(ms)));
         if target.is_far {
             self.far_way_ms = self.far_way_ms.min(ms).max(NEAR_WAY_MS);
+        } else {
+            self.near_way_ms = self.near_way_ms.min(ms);
         }
     }
 }
