Use kept connections up to the target's own limit until two are found closed

Cause: for work that must run once, kept connections were used for 5 s only although targets state 10 s. Where targets forget idle connections after 0.3 s, 5 s did not help either.

Ruled out: first connections between machines and targets, which are the larger part and stay.

Change: one limit for all work. Losses on kept connections of two targets within 3 s put all kept ones in doubt for 5 s, and only those younger than half of the time seen are used.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,15 +6,18 @@
 use ebonypass_core::fleet::{Choice, Report};
 use ebonypass_core::id::TargetId;
 use ebonypass_node::clock;
+use ebonypass_node::event::Event;
 use ebonypass_platform::header::{self, Marks};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, header as http_header};
+use serde_json::json;
 
 use crate::body::Body;
 use crate::exchange::{Connection, Error as ExchangeError, describe};
 use crate::gateway::Gateway;
 use crate::request::Job;
+use crate::upstream::Origin;
 
 /// Bytes of a reply that are read before its head is passed on. A reply that breaks off within them
 /// is repeated or failed; a longer one is passed on as it comes.
@@ -64,11 +67,11 @@
         let spec = &state.fleet.target(target).spec;
         (spec.id.clone(), spec.address)
     };
-    let lease = match gateway.upstream.open(target, address, job.terms.idempotent).await {
+    let lease = match gateway.upstream.open(target, address).await {
         Ok(lease) => lease,
         Err(error) => return Outcome::Unreachable(error),
     };
-    if let Some(connect) = lease.connect {
+    if let Origin::Made(connect) = lease.origin {
         gateway.metrics.connects.inc();
         gateway.state().fleet.note_way(target, connect);
     }
@@ -82,10 +85,18 @@
     let left = job.deadline.since(clock::now());
     header::address(&mut request, left, &name);
     let mut connection = lease.connection;
+    let start = clock::now();
     let response = match connection.send(request).await {
         Ok(response) => response,
         Err(ExchangeError::Unsent(error)) => return Outcome::Unsent(error),
-        Err(ExchangeError::Lost(error)) => return Outcome::Lost(error),
+        Err(ExchangeError::Lost(error)) => {
+            let time = clock::now().since(start);
+            if gateway.upstream.note_loss(target, lease.origin, time) {
+                let fields = json!({ "target": name, "ms": time.as_millis(), "error": error });
+                gateway.log.note(Event::ConnectionsDoubted, fields);
+            }
+            return Outcome::Lost(error);
+        }
     };
     receive(gateway, job, target, connection, response).await
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Connections to targets.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,9 +20,13 @@
 const IDLE_LIMIT: Span = Span::from_secs(4);
 /// Time before the end of a target's idle limit from which a connection is not used any more.
 const IDLE_MARGIN: Span = Span::from_millis(1_200);
-/// Idle time after which a connection is not used for work that must not be repeated: a target
-/// that has closed it meanwhile would leave the outcome unknown.
-const CAREFUL_IDLE_LIMIT: Span = Span::from_secs(5);
+/// A request on a kept connection that is lost within this time found the connection closed: ways
+/// take up to 70 ms both ways, and work takes longer.
+const FORGOTTEN_LIMIT: Span = Span::from_millis(120);
+/// Connections of two targets that were found closed within this time put all kept ones in doubt.
+const DOUBT_SPAN: Span = Span::from_secs(3);
+/// Time for which they stay in doubt.
+const DOUBT_TIME: Span = Span::from_secs(5);
 /// Idle connections kept for one target.
 const IDLE_CONNECTIONS: usize = 8;
 
@@ -38,8 +42,33 @@
 pub struct Lease {
     /// The connection.
     pub connection: Connection,
-    /// The time that making it took; none if it was kept from before.
-    pub connect: Option<Span>,
+    /// Where it comes from.
+    pub origin: Origin,
+}
+
+/// Where a connection comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// It was made within this time.
+    Made(Span),
+    /// It was kept idle for this time.
+    Kept(Span),
+}
+
+/// The last connection that was found closed.
+#[derive(Debug, Clone, Copy)]
+struct Forgotten {
+    target: TargetId,
+    at: Instant,
+    idle: Span,
+}
+
+/// Kept connections are not trusted: targets close them sooner than they say. Work that must not be
+/// repeated would be lost on them.
+#[derive(Debug, Clone, Copy)]
+struct Doubt {
+    until: Instant,
+    limit: Span,
 }
 
 /// Idle connections to targets.
@@ -47,34 +76,62 @@
 pub struct Upstream {
     executor: Rc<LocalExecutor<'static>>,
     idle: RefCell<HashMap<TargetId, Vec<Idle>>>,
+    forgotten: Cell<Option<Forgotten>>,
+    doubt: Cell<Option<Doubt>>,
 }
 
 impl Upstream {
     /// No connections yet.
     pub fn new(executor: Rc<LocalExecutor<'static>>) -> Upstream {
-        Upstream { executor, idle: RefCell::default() }
+        Upstream {
+            executor,
+            idle: RefCell::default(),
+            forgotten: Cell::new(None),
+            doubt: Cell::new(None),
+        }
     }
 
     /// A connection to a target, an idle one if there is one that can be trusted.
     ///
     /// Errors: no connection could be made; no byte was sent.
-    pub async fn open(
-        &self,
-        target: TargetId,
-        address: SocketAddr,
-        idempotent: bool,
-    ) -> Result<Lease, String> {
+    pub async fn open(&self, target: TargetId, address: SocketAddr) -> Result<Lease, String> {
         while let Some(mut idle) = self.take(target) {
             let age = clock::now().since(idle.since);
-            let limit = if idempotent { idle.limit } else { idle.limit.min(CAREFUL_IDLE_LIMIT) };
-            if age < limit && idle.connection.is_ready().await {
-                return Ok(Lease { connection: idle.connection, connect: None });
+            if age < self.trusted(idle.limit) && idle.connection.is_ready().await {
+                return Ok(Lease { connection: idle.connection, origin: Origin::Kept(age) });
             }
         }
         let start = clock::now();
         let connection = Connection::open(&self.executor, address, CONNECT_LIMIT).await;
         let connection = connection.map_err(|error| error.to_string())?;
-        Ok(Lease { connection, connect: Some(clock::now().since(start)) })
+        Ok(Lease { connection, origin: Origin::Made(clock::now().since(start)) })
+    }
+
+    /// The idle time up to which a connection is used whose target allows `limit`.
+    fn trusted(&self, limit: Span) -> Span {
+        let doubt = self.doubt.get().filter(|doubt| clock::now() < doubt.until);
+        doubt.map_or(limit, |doubt| limit.min(doubt.limit))
+    }
+
+    /// Takes in that a request on a connection was lost after `time`, and returns whether all kept
+    /// connections are in doubt now and were not before.
+    pub fn note_loss(&self, target: TargetId, origin: Origin, time: Span) -> bool {
+        let Origin::Kept(idle) = origin else { return false };
+        if time >= FORGOTTEN_LIMIT {
+            return false;
+        }
+        let now = clock::now();
+        let last = self.forgotten.replace(Some(Forgotten { target, at: now, idle }));
+        let Some(last) = last else { return false };
+        if last.target == target || now.since(last.at) >= DOUBT_SPAN {
+            return false;
+        }
+        let before = self.doubt.get().filter(|doubt| now < doubt.until);
+        // Half of the shortest time seen leaves room for those that are closed even sooner.
+        let limit = Span::from_micros(idle.min(last.idle).as_micros() / 2);
+        let limit = before.map_or(limit, |before| limit.min(before.limit));
+        self.doubt.set(Some(Doubt { until: now + DOUBT_TIME, limit }));
+        before.is_none()
     }
 
     fn take(&self, target: TargetId) -> Option<Idle> {
--- a/crates/gateway/tests/fake/mod.rs
+++ b/crates/gateway/tests/fake/mod.rs
@@ -179,6 +179,11 @@
         reads.filter(|line| line.contains("watch=") == are_watches).count()
     }
 
+    /// All calls so far.
+    pub fn calls(&self) -> usize {
+        self.shelf.0.lock().unwrap().calls.len()
+    }
+
     pub fn names(&self, kind: &str) -> Vec<String> {
         let shelf = self.shelf.0.lock().unwrap();
         let keys = shelf.objects.keys().filter(|(other, _)| other == kind);
--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -78,6 +78,23 @@
     assert!(bad.count() > 0, "no request came to the bad target");
 }
 
+/// Targets that forget idle connections sooner than they say lose what is sent on them, and work that
+/// must run once cannot be sent again: after two such losses kept connections are not trusted.
+#[test]
+fn forgotten_connections_are_soon_not_used() {
+    let targets = ["t-1", "t-2", "t-3"].map(|name| Target::new(name, Answer::Forgets));
+    let (_store, gateway) = world(&targets.each_ref());
+    let mut lost = 0;
+    for index in 0..40 {
+        let bytes = request("POST", "/once/", &format!("id-{index}"), "");
+        let text = String::from_utf8(bytes).unwrap().replace("Key=7", &format!("Key={index}"));
+        let reply = exchange(gateway.callers, text.as_bytes()).unwrap();
+        lost += usize::from(reply.status() != 200);
+        std::thread::sleep(Duration::from_millis(30));
+    }
+    assert!(lost <= 4, "{lost} requests were lost");
+}
+
 /// After a restart of all machines none of them knows how many there are, so each may repeat little.
 #[test]
 fn a_new_process_repeats_little() {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -99,6 +99,8 @@
     TargetGone = 502 Info "target gone",
     /// A target's load cannot be read.
     LoadLost = 503 Warn "no load report",
+    /// Kept connections to several targets were found closed; older ones are not used for a while.
+    ConnectionsDoubted = 504 Warn "kept connections in doubt",
 
     /// A caller's request was refused for its form.
     CallerRefused = 600 Warn "caller refused",
