Add a randomized soak of gateways under faults from outside

Change: four gateway processes, five targets and a store behind proxies that delay, reset, cut one way or silence; gateways are paused, killed and stopped; store and targets misbehave. Checked: work that must run once runs once, a refusal has not run, replies are whole and the caller's own, nothing read is cut by a planned stop, and afterwards a configuration and a leaving target are known everywhere in time.

--- a/crates/gateway/tests/fake/mod.rs
+++ b/crates/gateway/tests/fake/mod.rs
@@ -138,6 +138,11 @@
         store
     }
 
+    /// This store as it is reached at `address`.
+    pub fn at(&self, address: SocketAddr) -> Store {
+        Store { address, ..self.clone() }
+    }
+
     pub fn set_mood(&self, mood: Mood) {
         self.shelf.0.lock().unwrap().mood = mood;
         self.shelf.1.notify_all();
@@ -309,10 +314,19 @@
     pub address: SocketAddr,
     answer: Arc<Mutex<Answer>>,
     pub requests: Arc<Mutex<Vec<Message>>>,
+    /// Requests that ran.
+    pub runs: Arc<Mutex<Vec<Run>>>,
     /// Requests whose connection was closed before the reply.
     pub abandoned: Arc<AtomicUsize>,
 }
 
+/// A request that ran at a target.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub id: String,
+    pub path: String,
+}
+
 impl Target {
     pub fn new(id: &str, answer: Answer) -> Target {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
@@ -321,6 +335,7 @@
             address: listener.local_addr().unwrap(),
             answer: Arc::new(Mutex::new(answer)),
             requests: Arc::default(),
+            runs: Arc::default(),
             abandoned: Arc::default(),
         };
         let server = target.clone();
@@ -343,9 +358,14 @@
 
     /// Its entry in the store.
     pub fn entry(&self, service: &str, state: &str) -> Value {
+        self.entry_at(self.address, service, state)
+    }
+
+    /// Its entry in the store if it is reached at `address`.
+    pub fn entry_at(&self, address: SocketAddr, service: &str, state: &str) -> Value {
         json!({
             "spec": {
-                "address": self.address.to_string(),
+                "address": address.to_string(),
                 "born": 1,
                 "info": { "service": service, "version": "v1", "zone": "zrh-a", "slots": 3 },
             },
@@ -362,6 +382,10 @@
             let answer = self.answer.lock().unwrap().clone();
             let id = request.header("x-request-id").unwrap_or_default().to_owned();
             let body = format!("reply to {id}");
+            if !matches!(answer, Answer::Sheds | Answer::Misplaced) {
+                let path = request.first.split(' ').nth(1).unwrap_or_default().to_owned();
+                self.runs.lock().unwrap().push(Run { id: id.clone(), path });
+            }
             self.requests.lock().unwrap().push(request);
             if let Answer::Sound(time) = answer
                 && !time.is_zero()
@@ -444,7 +468,7 @@
 }
 
 /// Ports of a gateway, as on the platform the same on all machines.
-const CALLERS_PORT: u16 = 8641;
+pub const CALLERS_PORT: u16 = 8641;
 const READINESS_PORT: u16 = 8640;
 const LOOKUPS_PORT: u16 = 8644;
 const MESH_PORT: u16 = 7620;
@@ -452,7 +476,7 @@
 
 /// An address of the loopback net that no other gateway of the tests has. Ports that were free a
 /// moment ago may be taken by a test that runs beside this one.
-fn own_address() -> Ipv4Addr {
+pub fn own_address() -> Ipv4Addr {
     static COUNT: AtomicUsize = AtomicUsize::new(0);
     let count = COUNT.fetch_add(1, Ordering::SeqCst);
     let process = std::process::id();
@@ -486,7 +510,8 @@
         addresses.into_iter().enumerate().map(start).collect()
     }
 
-    fn start_at(
+    /// Starts the process of a machine called `name` at `address`.
+    pub fn start_at(
         address: Ipv4Addr,
         store: &Store,
         name: &str,
@@ -530,6 +555,10 @@
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
 
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     pub fn wait_ready(&self) {
         eventually("the gateway is ready", || self.is_ready());
     }
