Measure a gateway's cost, and test lost answers of the store and cold targets

Cause: processor time of a request and of an idle gateway were not measured, and the stand-ins had no write whose answer is lost and no cold target.

Change: cargo bench -p ebonypass-gateway; Mood::LosesAnswers; tests an_entry_whose_answer_was_lost_stands and a_cold_target_gets_no_more_than_its_bound.

--- /dev/null
+++ b/crates/gateway/benches/request.rs
@@ -0,0 +1,70 @@
+//! What a gateway costs: processor time while idle and for each request, and memory.
+//!
+//! One gateway and three targets on the loopback net; `cargo bench -p ebonypass-gateway`.
+
+#[path = "../tests/fake/mod.rs"]
+mod fake;
+
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use fake::{Answer, Gateway, Message, Target, request, world};
+
+/// Time over which an idle gateway is measured.
+const IDLE: Duration = Duration::from_secs(10);
+/// Callers, each with one connection, and requests of each.
+const CALLERS: usize = 4;
+const REQUESTS: usize = 2_500;
+/// Unit of the processor time in `/proc/PID/stat`, Linux's `USER_HZ`.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Processor time that a process has used.
+fn processor_time(gateway: &Gateway) -> Duration {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", gateway.child.id())).unwrap();
+    // The name of the program stands in brackets and may have spaces; the times are the 12th and
+    // 13th field after it.
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+    let ticks: u32 =
+        [fields[11], fields[12]].iter().map(|field| field.parse::<u32>().unwrap()).sum();
+    TICK * ticks
+}
+
+/// Resident memory of a process in KB.
+fn memory_kb(gateway: &Gateway) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.child.id())).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+fn call(gateway: &Gateway, number: usize) {
+    let mut stream = BufReader::new(TcpStream::connect(gateway.callers).unwrap());
+    for index in 0..REQUESTS {
+        let id = format!("{number}-{index}");
+        stream.get_mut().write_all(&request("GET", "/safe/a", &id, "")).unwrap();
+        assert_eq!(Message::read(&mut stream).unwrap().status(), 200);
+    }
+}
+
+fn main() {
+    let targets =
+        ["t-1", "t-2", "t-3"].map(|name| Target::new(name, Answer::Sound(Duration::ZERO)));
+    let (_store, gateway) = world(&targets.each_ref());
+    let before = processor_time(&gateway);
+    thread::sleep(IDLE);
+    let idle = processor_time(&gateway) - before;
+    println!("idle: {:.2}% of a core", idle.as_secs_f64() / IDLE.as_secs_f64() * 100.0);
+    println!("idle: {} KB resident", memory_kb(&gateway));
+    let before = processor_time(&gateway);
+    thread::scope(|scope| {
+        for number in 0..CALLERS {
+            let gateway = &gateway;
+            scope.spawn(move || call(gateway, number));
+        }
+    });
+    let count = (CALLERS * REQUESTS) as u32;
+    let used = processor_time(&gateway) - before;
+    println!("loaded: {} us of a core for each of {count} requests", (used / count).as_micros());
+    println!("loaded: {} KB resident", memory_kb(&gateway));
+}
--- a/crates/gateway/tests/fake/mod.rs
+++ b/crates/gateway/tests/fake/mod.rs
@@ -89,6 +89,8 @@
     Silent,
     /// Calls get this status.
     Refuses(u16),
+    /// Writes are done and get no answer.
+    LosesAnswers,
 }
 
 struct Shelf {
@@ -224,6 +226,7 @@
             Mood::Sound => {}
             Mood::Silent => return None,
             Mood::Refuses(status) => return Some(reply(&format!("{status} Refused"), b"")),
+            Mood::LosesAnswers => {}
         }
         if method == "POST" {
             let object: Value = serde_json::from_slice(&call.body).ok()?;
@@ -232,6 +235,9 @@
                 return Some(reply("409 Conflict", b"{}"));
             }
             self.put(&kind, &name, object);
+            if self.shelf.0.lock().unwrap().mood == Mood::LosesAnswers {
+                return None;
+            }
             return Some(reply("201 Created", b"{}"));
         }
         match field("watch") {
@@ -258,7 +264,7 @@
         let end = Instant::now() + wait;
         let mut shelf = self.shelf.0.lock().unwrap();
         loop {
-            if shelf.mood != Mood::Sound {
+            if !matches!(shelf.mood, Mood::Sound | Mood::LosesAnswers) {
                 return None;
             }
             if from < shelf.forgotten {
--- a/crates/gateway/tests/store.rs
+++ b/crates/gateway/tests/store.rs
@@ -190,3 +190,42 @@
     let calls = store.reads("servers", true) - before;
     assert!(calls <= 6, "{calls} calls for 40 changes");
 }
+
+/// A write whose answer is lost has been done: the next try meets the machine's own entry and must take
+/// that as success, or a machine that knows no other never reads the list of machines.
+#[test]
+fn an_entry_whose_answer_was_lost_stands() {
+    let store = Store::new();
+    store.put("config", "main", config(2, &ROUTES));
+    store.set_mood(Mood::LosesAnswers);
+    let gateway = Gateway::start(&store);
+    gateway.wait_ready();
+    eventually("the entry is written", || store.names("machines") == ["vm-1"]);
+    eventually("the list of machines is read", || store.reads("machines", false) > 0);
+    assert_eq!(store.names("machines"), ["vm-1"]);
+}
+
+/// A target that has just started breaks down under more than its bound: 2.7 requests a second, times
+/// 1.5, and 5 more, from all machines together.
+#[test]
+fn a_cold_target_gets_no_more_than_its_bound() {
+    let target = Target::new("t-1", SOUND);
+    let store = Store::new();
+    store.put("config", "main", config(2, &ROUTES));
+    let mut entry = target.entry("s", "ready");
+    entry["status"]["coldRemainingMs"] = json!(30_000);
+    store.put("servers", "t-1", entry);
+    let gateway = Gateway::start(&store);
+    gateway.wait_ready();
+    eventually("the target is used", || status(&gateway, "/safe/a") == 200);
+    std::thread::sleep(Duration::from_secs(1));
+    let before = target.count();
+    let start = Instant::now();
+    let mut refused = 0;
+    while start.elapsed() < Duration::from_millis(900) {
+        refused += usize::from(status(&gateway, "/safe/a") == 503);
+    }
+    let arrived = target.count() - before;
+    assert!(arrived > 0 && arrived <= 9, "{arrived} requests in a second");
+    assert!(refused > 0, "the load was too small to say anything");
+}
