Move the trust in kept connections into the core

Cause: the decision stood beside the sockets and read the clock, so that it could be tested with a process only.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod text;
 pub mod time;
 mod timer;
+pub mod trust;
 pub mod version;
 pub mod vote;
 pub mod window;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Connections to targets.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,6 +8,7 @@
 
 use ebonypass_core::id::TargetId;
 use ebonypass_core::time::{Instant, Span};
+use ebonypass_core::trust::Trust;
 use ebonypass_node::clock;
 use smol::LocalExecutor;
 
@@ -20,13 +21,6 @@
 const IDLE_LIMIT: Span = Span::from_secs(4);
 /// Time before the end of a target's idle limit from which a connection is not used any more.
 const IDLE_MARGIN: Span = Span::from_millis(1_200);
-/// A request on a kept connection that is lost within this time found the connection closed: ways
-/// take up to 70 ms both ways, and work takes longer.
-const FORGOTTEN_LIMIT: Span = Span::from_millis(120);
-/// Connections of two targets that were found closed within this time put all kept ones in doubt.
-const DOUBT_SPAN: Span = Span::from_secs(3);
-/// Time for which they stay in doubt.
-const DOUBT_TIME: Span = Span::from_secs(5);
 /// Idle connections kept for one target.
 const IDLE_CONNECTIONS: usize = 8;
 
@@ -55,40 +49,18 @@
     Kept(Span),
 }
 
-/// The last connection that was found closed.
-#[derive(Debug, Clone, Copy)]
-struct Forgotten {
-    target: TargetId,
-    at: Instant,
-    idle: Span,
-}
-
-/// Kept connections are not trusted: targets close them sooner than they say. Work that must not be
-/// repeated would be lost on them.
-#[derive(Debug, Clone, Copy)]
-struct Doubt {
-    until: Instant,
-    limit: Span,
-}
-
 /// Idle connections to targets.
 #[derive(Debug)]
 pub struct Upstream {
     executor: Rc<LocalExecutor<'static>>,
     idle: RefCell<HashMap<TargetId, Vec<Idle>>>,
-    forgotten: Cell<Option<Forgotten>>,
-    doubt: Cell<Option<Doubt>>,
+    trust: RefCell<Trust>,
 }
 
 impl Upstream {
     /// No connections yet.
     pub fn new(executor: Rc<LocalExecutor<'static>>) -> Upstream {
-        Upstream {
-            executor,
-            idle: RefCell::default(),
-            forgotten: Cell::new(None),
-            doubt: Cell::new(None),
-        }
+        Upstream { executor, idle: RefCell::default(), trust: RefCell::default() }
     }
 
     /// A connection to a target, an idle one if there is one that can be trusted.
@@ -96,8 +68,10 @@
     /// Errors: no connection could be made; no byte was sent.
     pub async fn open(&self, target: TargetId, address: SocketAddr) -> Result<Lease, String> {
         while let Some(mut idle) = self.take(target) {
-            let age = clock::now().since(idle.since);
-            if age < self.trusted(idle.limit) && idle.connection.is_ready().await {
+            let now = clock::now();
+            let age = now.since(idle.since);
+            let limit = self.trust.borrow().limit(now, idle.limit);
+            if age < limit && idle.connection.is_ready().await {
                 return Ok(Lease { connection: idle.connection, origin: Origin::Kept(age) });
             }
         }
@@ -107,31 +81,11 @@
         Ok(Lease { connection, origin: Origin::Made(clock::now().since(start)) })
     }
 
-    /// The idle time up to which a connection is used whose target allows `limit`.
-    fn trusted(&self, limit: Span) -> Span {
-        let doubt = self.doubt.get().filter(|doubt| clock::now() < doubt.until);
-        doubt.map_or(limit, |doubt| limit.min(doubt.limit))
-    }
-
-    /// Takes in that a request on a connection was lost after `time`, and returns whether all kept
+    /// Takes in that a request on a connection was lost after `time`, and returns whether kept
     /// connections are in doubt now and were not before.
     pub fn note_loss(&self, target: TargetId, origin: Origin, time: Span) -> bool {
         let Origin::Kept(idle) = origin else { return false };
-        if time >= FORGOTTEN_LIMIT {
-            return false;
-        }
-        let now = clock::now();
-        let last = self.forgotten.replace(Some(Forgotten { target, at: now, idle }));
-        let Some(last) = last else { return false };
-        if last.target == target || now.since(last.at) >= DOUBT_SPAN {
-            return false;
-        }
-        let before = self.doubt.get().filter(|doubt| now < doubt.until);
-        // Half of the shortest time seen leaves room for those that are closed even sooner.
-        let limit = Span::from_micros(idle.min(last.idle).as_micros() / 2);
-        let limit = before.map_or(limit, |before| limit.min(before.limit));
-        self.doubt.set(Some(Doubt { until: now + DOUBT_TIME, limit }));
-        before.is_none()
+        self.trust.borrow_mut().note_loss(clock::now(), target, idle, time)
     }
 
     fn take(&self, target: TargetId) -> Option<Idle> {
