Give entries of the process tests loopback addresses of their own

Cause: suspended_owner took ports that were free a moment before, and checked for a free TCP port where the peers' listener binds a UDP port.

Change: each process listens on a loopback address that no other test uses, so that no port can be taken between choice and bind.

--- a/crates/entry/tests/process.rs
+++ b/crates/entry/tests/process.rs
@@ -3,8 +3,9 @@
 mod fake;
 
 use std::io::Read;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use fake::{Folder, POLICY, Store, Target, call, entry_vm, run, wait_until};
@@ -34,9 +35,17 @@
     }
 }
 
-fn unused_port() -> u16 {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
-    listener.local_addr().expect("address").port()
+/// Ports on an address of [`unique_address`].
+const CALLERS_PORT: u16 = 6001;
+const PEERS_PORT: u16 = 6002;
+
+/// A loopback address that no other process of a test uses. A port that was found free a moment
+/// before can be taken by then, and a free TCP port says nothing about the UDP port of peers.
+fn unique_address() -> Ipv4Addr {
+    static COUNT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let count = COUNT.fetch_add(1, Ordering::SeqCst);
+    Ipv4Addr::new(127, 201 + high % 50, low, count)
 }
 
 /// The process exits at start-up if a setting is invalid, and names the field.
@@ -91,7 +100,7 @@
     store.set_vms(vec![target.vm("live")]);
     let extra = "[log]\nfile = \"entry.log\"\n[limits]\nleave_ms = 300\n";
     let text = folder.settings("zurich-1-a", "zurich-1", store.address, extra);
-    let address = format!("127.0.0.1:{}", unused_port());
+    let address = format!("{}:{CALLERS_PORT}", unique_address());
     let text = text.replacen("127.0.0.1:0", &address, 1);
     let path = folder.path.join("entry.toml");
     std::fs::write(&path, text).expect("write");
@@ -128,8 +137,8 @@
     let folder = Folder::new("frozen-owner");
     let (store, target) = (Store::new(), Target::echo("rounds-zurich-1-01"));
     store.set_policy(7, POLICY);
-    let addresses: Vec<[SocketAddr; 2]> =
-        (0..2).map(|_| [0, 1].map(|_| SocketAddr::from(([127, 0, 0, 1], unused_port())))).collect();
+    let listen = |address| [CALLERS_PORT, PEERS_PORT].map(|port| SocketAddr::from((address, port)));
+    let addresses: Vec<[SocketAddr; 2]> = (0..2).map(|_| listen(unique_address())).collect();
     let names = ["zurich-1-a", "zurich-1-b"];
     let children = names.iter().zip(&addresses).map(|(name, [callers, peers])| {
         let text = folder.settings(name, "zurich-1", store.address, "");
