--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -6,6 +6,7 @@
 //! The method is that of van Renesse, Minsky and Hayden, "A gossip-style failure detection service"
 //! (Middleware 1998).
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::IpAddr;
 
@@ -16,16 +17,16 @@
 
 /// Time between two rounds of messages.
 pub const ROUND_INTERVAL: Span = Span::from_millis(400);
-/// Recipients of a message in each round: one for each 50 machines, within these limits. A message
-/// does not hold the heartbeats of all machines if the fleet has more than 80.
+/// Recipients of a message in each round: one for each 40 machines, within these limits. A message
+/// does not hold the heartbeats of all machines if the fleet has more than [`MAX_HEARTBEATS`].
 pub const MIN_FAN_OUT: usize = 3;
-const MACHINES_PER_RECIPIENT: usize = 50;
+const MACHINES_PER_RECIPIENT: usize = 40;
 const MAX_FAN_OUT: usize = 8;
 /// A machine with at least [`MIN_FAN_OUT`] others in its data centre sends to another data centre
 /// in one of this many rounds, since traffic between data centres is billed.
 const ROUNDS_PER_REMOTE_MESSAGE: usize = 2;
 /// Heartbeats in a message, which keeps it within a datagram of 1,500 bytes.
-pub const MAX_HEARTBEATS: usize = 80;
+pub const MAX_HEARTBEATS: usize = 120;
 /// Machines that a message describes in full besides its sender. A reply goes to a machine that
 /// does not know all and describes more.
 pub const MAX_PEERS: usize = 2;
@@ -41,8 +42,9 @@
 pub const DEAD_AFTER: Span = Span::from_millis(3_600);
 /// A process that has run for less than this may not know all machines.
 const SETTLING_TIME: Span = Span::from_secs(3);
-/// The fleet size that is assumed until then: more than in any deployment.
-const INITIAL_FLEET_SIZE: usize = 100;
+/// The fleet size that is assumed until then: more than in any deployment. Processes that start
+/// together know only a few others, and must not take more than their share of a limit.
+const INITIAL_FLEET_SIZE: usize = 10_000;
 /// A dead machine is removed after this time.
 pub const FORGET_AFTER: Span = Span::from_secs(60);
 
@@ -55,6 +57,8 @@
     pub address: IpAddr,
     /// Its data centre.
     pub centre: String,
+    /// How much work it can take, in units of the weakest machine.
+    pub strength: u8,
     /// Its latest heartbeat.
     pub heartbeat: Heartbeat,
 }
@@ -91,12 +95,51 @@
 pub struct Message {
     /// Machines in full, the sender first.
     pub peers: Vec<Peer>,
-    /// Heartbeats of other machines by the hash of their names.
-    pub heartbeats: Vec<(u32, Heartbeat)>,
+    /// Heartbeats of other machines.
+    pub heartbeats: Vec<Entry>,
     /// Whether the receiver should reply with a message of its own.
     pub wants_reply: bool,
 }
 
+/// The heartbeat of a machine other than the sender, in few bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Hash of the machine's name.
+    key: [u8; 4],
+    /// Its round less that of the sender. Both start from the Unix time.
+    round_offset: i16,
+    is_ready: bool,
+    store_up_ds: u8,
+    demand: u16,
+}
+
+impl Entry {
+    /// None if the clocks of the two machines differ by hours.
+    fn new(key: u32, heartbeat: &Heartbeat, sender_round: u64) -> Option<Entry> {
+        let round_offset = heartbeat.round.wrapping_sub(sender_round).cast_signed();
+        Some(Entry {
+            key: key.to_le_bytes(),
+            round_offset: i16::try_from(round_offset).ok()?,
+            is_ready: heartbeat.is_ready,
+            store_up_ds: heartbeat.store_up_ds,
+            demand: heartbeat.demand,
+        })
+    }
+
+    fn key(&self) -> u32 {
+        u32::from_le_bytes(self.key)
+    }
+
+    fn heartbeat(&self, sender_round: u64) -> Heartbeat {
+        Heartbeat {
+            round: sender_round.wrapping_add_signed(self.round_offset.into()),
+            is_ready: self.is_ready,
+            store_up_ds: self.store_up_ds,
+            demand: self.demand,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct KnownPeer {
     peer: Peer,
@@ -129,6 +172,8 @@
     Request,
     /// Replies to a request and describes more machines in full.
     Reply,
+    /// Describes only the sender.
+    Notice,
 }
 
 /// The machines that one machine knows.
@@ -151,11 +196,20 @@
 /// argument.
 fn sample<T>(values: &mut Vec<T>, count: usize, random: &mut impl FnMut(usize) -> usize) {
     let count = count.min(values.len());
+    move_sample_to_front(values, count, random);
+    values.truncate(count);
+}
+
+/// Moves `count` random values to the front.
+fn move_sample_to_front<T>(
+    values: &mut [T],
+    count: usize,
+    random: &mut impl FnMut(usize) -> usize,
+) {
     for index in 0..count {
         let other = index + random(values.len() - index);
         values.swap(index, other);
     }
-    values.truncate(count);
 }
 
 impl Membership {
@@ -215,12 +269,26 @@
         let (peer_count, heartbeat_count) = match kind {
             Kind::Reply => (MAX_REPLY_PEERS, MAX_HEARTBEATS / 4),
             Kind::Gossip | Kind::Request => (MAX_PEERS, MAX_HEARTBEATS),
+            Kind::Notice => (0, 0),
         };
         let wants_reply = kind == Kind::Request;
-        let others = live.iter().rev().take(peer_count).map(|(_, known)| known.peer.clone());
+        // A new process needs the strong machines first: they relay the store's objects.
+        let mut others: Vec<&KnownPeer> = live.iter().rev().map(|&(_, known)| known).collect();
+        if kind == Kind::Reply {
+            others.sort_by_key(|known| Reverse(known.peer.strength));
+            let random_count = peer_count / 2;
+            if let Some((_, rest)) = others.split_at_mut_checked(peer_count - random_count) {
+                let count = random_count.min(rest.len());
+                move_sample_to_front(rest, count, &mut random);
+            }
+        }
+        let others = others.into_iter().take(peer_count).map(|known| known.peer.clone());
         let peers = std::iter::once(self.own.clone()).chain(others).collect();
-        let heartbeats =
-            live.iter().take(heartbeat_count).map(|&(key, known)| (key, known.peer.heartbeat));
+        let round = self.own.heartbeat.round;
+        let heartbeats = live
+            .iter()
+            .filter_map(|&(key, known)| Entry::new(key, &known.peer.heartbeat, round))
+            .take(heartbeat_count);
         Message { peers, heartbeats: heartbeats.collect(), wants_reply }
     }
 
@@ -228,7 +296,10 @@
     pub fn handle_message(&mut self, now: Instant, message: Message) -> Vec<String> {
         let mut found = Vec::new();
         let own_hash = name_hash(&self.own.name);
-        for (key, heartbeat) in message.heartbeats {
+        let Some(sender) = message.peers.first() else { return found };
+        let sender_round = sender.heartbeat.round;
+        for entry in &message.heartbeats {
+            let (key, heartbeat) = (entry.key(), entry.heartbeat(sender_round));
             match self.peers.get_mut(&key) {
                 Some(known) => found.extend(known.update(now, heartbeat)),
                 None => self.has_unknown_peers |= key != own_hash,
@@ -282,6 +353,13 @@
         }
     }
 
+    /// This machine's part of a fleet-wide limit. Parts below one are given to so many machines, by
+    /// the hash of their names, that the sum over all machines is about the limit.
+    pub fn share(&self, now: Instant, limit: f64) -> usize {
+        let rounding = f64::from(name_hash(&self.own.name)) / f64::from(u32::MAX);
+        (limit / self.fleet_size(now) as f64 + rounding) as usize
+    }
+
     /// Names of the live machines, this one included, in order.
     pub fn live_names(&self, now: Instant) -> Vec<String> {
         let mut names: Vec<String> = self.live_peers(now).map(|peer| peer.name.clone()).collect();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod date;
 
 pub mod capacity;
+pub mod directory;
 mod dispatch;
 pub mod fault;
 mod field;
@@ -34,6 +35,7 @@
 mod prefetch;
 mod queue;
 mod quorum;
+pub mod relay;
 pub mod roster;
 pub mod rotation;
 pub mod route;
--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -18,6 +18,7 @@
         name: format!("vm-{index}"),
         address: IpAddr::V4(Ipv4Addr::new(10, 0, (index >> 8) as u8, index as u8)),
         centre: format!("centre-{}", index % CENTRE_COUNT),
+        strength: 1,
         heartbeat: Heartbeat { is_ready: true, ..Heartbeat::at_start(0) },
     }
 }
@@ -125,6 +126,7 @@
 #[test_case(12, 0; "a small fleet")]
 #[test_case(84, 0; "a large fleet")]
 #[test_case(100, 20; "a hundred machines that lose one message in twenty")]
+#[test_case(295, 20; "three hundred machines that lose one message in twenty")]
 #[test_case(84, 10; "a large fleet that loses one message in ten")]
 fn all_machines_are_found_and_stay_live(size: u16, loss: usize) {
     let mut fleet = SimulatedFleet::new(size);
@@ -196,7 +198,9 @@
 
 #[test]
 fn a_message_fits_in_a_datagram() {
-    let mut membership = Membership::new(Instant::ZERO, peer(0));
+    let ms = 1 << 42;
+    let mut membership =
+        Membership::new(Instant::ZERO, Peer { heartbeat: Heartbeat::at_start(ms), ..peer(0) });
     for index in 1..300 {
         let mut long = peer(index);
         long.name = format!("edge-makedonia-b-{index}");
@@ -205,7 +209,8 @@
             is_ready: true,
             store_up_ds: 255,
             demand: 900,
-            ..Heartbeat::at_start(1 << 42)
+            // The clocks of the machines may differ by hours.
+            ..Heartbeat::at_start(ms - u64::from(index) * 30_000)
         };
         membership.handle_message(Instant::ZERO, message(&Membership::new(Instant::ZERO, long)));
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,12 +1,13 @@
 //! The state of one gateway process.
 
 use std::cell::{Cell, RefCell, RefMut};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use ebonypass_core::balancer::{self, Balancer};
+use ebonypass_core::directory;
 use ebonypass_core::gossip::{Heartbeat, Membership, Peer};
 use ebonypass_core::id::ServiceId;
 use ebonypass_core::route;
@@ -14,21 +15,22 @@
 use ebonypass_core::window::RetryBudget;
 use ebonypass_node::clock;
 use ebonypass_platform::config::Limits;
-use ebonypass_platform::object::{self, Kind, Object};
+use ebonypass_platform::object::Kind;
 use event_listener::Event as Signal;
 use smol::LocalExecutor;
 
 use crate::log::Log;
 use crate::metric::Metrics;
+use crate::mirror::Mirror;
 use crate::pool::Pool;
 use crate::settings::Settings;
 
 /// Fraction of the fleet's retry allowance that is used. The rest covers machines that restarted
 /// and lost count of the retries they sent.
 const RETRY_ALLOWANCE_FRACTION: f64 = 0.6;
-/// Retries that each machine may send per window at least. This keeps within the fleet's allowance,
-/// which in all deployments is over twice the number of machines.
-const MIN_RETRIES_PER_WINDOW: usize = 1;
+/// Time after the last answer from which a machine does not count as one that calls the store. A
+/// watch is answered within 1.5 s.
+const CONTACT_EXPIRY: Span = Span::from_secs(2);
 /// Fraction of the fleet's retry ratio that each machine applies to its own requests; below 1 for
 /// the same reason.
 const RETRY_RATIO_FRACTION: f64 = 0.75;
@@ -47,62 +49,6 @@
     Closing,
 }
 
-/// A local copy of the store's objects of one kind.
-#[derive(Debug, Default)]
-pub struct Mirror {
-    /// Objects by name.
-    pub objects: BTreeMap<String, Object>,
-    /// The store revision that the copy reflects; 0 before the first list.
-    pub revision: u64,
-    /// Whether the last call to the store for this kind failed.
-    pub is_stale: bool,
-    /// Recent changes: revision, object, and whether it was deleted.
-    changes: VecDeque<(u64, Object, bool)>,
-    /// `changes` holds every change after this revision.
-    compacted_revision: u64,
-}
-
-/// Changes kept per kind for peers that poll this machine.
-const MAX_CHANGES: usize = 400;
-
-impl Mirror {
-    /// Applies a change made at `revision` or earlier.
-    pub fn apply_change(&mut self, revision: u64, object: Object, is_deleted: bool) {
-        let name = object.metadata.name.clone();
-        if self.changes.len() >= MAX_CHANGES
-            && let Some((revision, ..)) = self.changes.pop_front()
-        {
-            self.compacted_revision = self.compacted_revision.max(revision);
-        }
-        self.changes.push_back((revision, object.clone(), is_deleted));
-        if is_deleted {
-            self.objects.remove(&name);
-        } else {
-            self.objects.insert(name, object);
-        }
-    }
-
-    /// Replaces all objects, and returns the ones that were removed.
-    pub fn replace(&mut self, revision: u64, objects: BTreeMap<String, Object>) -> Vec<Object> {
-        self.revision = revision;
-        self.compacted_revision = revision;
-        self.changes.clear();
-        let old = std::mem::replace(&mut self.objects, objects);
-        old.into_values().filter(|old| !self.objects.contains_key(&old.metadata.name)).collect()
-    }
-
-    /// Encodes the changes after `known_revision` for a peer, or the full list if those are no
-    /// longer all kept.
-    pub fn encode_since(&self, known_revision: u64) -> Vec<u8> {
-        if known_revision < self.compacted_revision || known_revision == 0 {
-            return object::encode_list(self.objects.values(), self.revision);
-        }
-        let changes = self.changes.iter().filter(|(revision, ..)| *revision > known_revision);
-        let changes = changes.map(|(_, object, is_deleted)| (object, *is_deleted));
-        object::encode_changes(changes, self.revision)
-    }
-}
-
 /// Mutable state of the process.
 #[derive(Debug)]
 pub struct State {
@@ -124,6 +70,34 @@
     retry_budgets: HashMap<ServiceId, RetryBudget>,
 }
 
+/// When the store answered this machine.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StoreContact {
+    /// Since when every call has succeeded; none before the first and after a failed one.
+    since: Option<Instant>,
+    /// The last success.
+    pub answered_at: Instant,
+}
+
+impl StoreContact {
+    /// Records a call that succeeded.
+    pub fn record_answer(&mut self, now: Instant) {
+        self.since.get_or_insert(now);
+        self.answered_at = now;
+    }
+
+    /// Records a call that failed.
+    pub fn record_failure(&mut self) {
+        self.since = None;
+    }
+
+    /// How long every call has succeeded; zero for a machine that no longer calls the store.
+    fn uptime(&self, now: Instant) -> Span {
+        let is_calling = now.since(self.answered_at) < CONTACT_EXPIRY;
+        self.since.filter(|_| is_calling).map_or(Span::ZERO, |since| now.since(since))
+    }
+}
+
 /// One gateway process.
 #[derive(Debug)]
 pub struct Gateway {
@@ -143,8 +117,8 @@
     pub arrivals: Cell<u64>,
     /// Open incoming connections.
     pub connections: Cell<usize>,
-    /// Since when every call to the store has succeeded; none while it is unreachable.
-    pub store_reachable_since: Cell<Option<Instant>>,
+    /// The store's answers to this machine.
+    pub store_contact: Cell<StoreContact>,
     /// The current shutdown phase.
     pub phase: Cell<Phase>,
     /// Notified when a mirror changes or becomes stale.
@@ -168,6 +142,7 @@
             name: settings.name.clone(),
             address: settings.address,
             centre: settings.data_centre.clone(),
+            strength: settings.limits.strength(),
             heartbeat: Heartbeat::at_start(start.as_millis() as u64),
         };
         let config = balancer::Config {
@@ -192,7 +167,7 @@
             in_flight: Cell::new(0),
             arrivals: Cell::new(0),
             connections: Cell::new(0),
-            store_reachable_since: Cell::new(None),
+            store_contact: Cell::default(),
             phase: Cell::new(Phase::Serving),
             mirror_changed: Signal::new(),
             state: RefCell::new(state),
@@ -213,7 +188,7 @@
 
     /// How long every store call of this machine has succeeded.
     pub fn store_uptime(&self) -> Span {
-        self.store_reachable_since.get().map_or(Span::ZERO, |since| clock::now().since(since))
+        self.store_contact.get().uptime(clock::now())
     }
 
     /// The longest store uptime seen by any live machine.
@@ -224,22 +199,23 @@
         peers.max().unwrap_or(Span::ZERO).max(self.store_uptime())
     }
 
-    /// Addresses for a caller in `region`: the ready machines there or, if there are none, all
-    /// ready machines.
+    /// Addresses for a caller in `region`: the entry machines there or, if none is ready, those of
+    /// all regions.
     pub fn lookup_addresses(&self, region: &str) -> Vec<SocketAddr> {
         let now = clock::now();
         let is_ready = self.is_ready();
         let state = self.state();
         let own = is_ready.then(|| state.membership.own());
         let peers = state.membership.live_peers(now).filter(|peer| peer.heartbeat.is_ready);
-        let all_ready: Vec<&Peer> = peers.chain(own).collect();
+        let ready: Vec<&Peer> = peers.chain(own).collect();
         let is_in_region = |peer: &&Peer| {
             self.settings.regions.get(&peer.centre).is_some_and(|other| other == region)
         };
-        let in_region: Vec<&Peer> = all_ready.iter().copied().filter(is_in_region).collect();
-        let preferred = if in_region.is_empty() { all_ready } else { in_region };
+        let in_region: Vec<&Peer> = ready.iter().copied().filter(is_in_region).collect();
+        let preferred = if in_region.is_empty() { &ready } else { &in_region };
         let port = self.settings.listen.callers.port();
-        preferred.into_iter().map(|peer| SocketAddr::new(peer.address, port)).collect()
+        let entries = directory::entries(preferred);
+        entries.into_iter().map(|peer| SocketAddr::new(peer.address, port)).collect()
     }
 }
 
@@ -252,14 +228,14 @@
         service: ServiceId,
     ) -> &mut RetryBudget {
         let shared = &settings.shared;
-        let allowance = shared.retry_allowance * RETRY_ALLOWANCE_FRACTION
-            / self.membership.fleet_size(now) as f64;
+        let allowance = shared.retry_allowance * RETRY_ALLOWANCE_FRACTION;
+        let allowance = self.membership.share(now, allowance);
         let percent = shared.retry_ratio * RETRY_RATIO_FRACTION * 100.0;
         let budget = self
             .retry_budgets
             .entry(service)
             .or_insert_with(|| RetryBudget::new(shared.retry_window(), percent as usize, 0));
-        budget.set_allowance((allowance as usize).max(MIN_RETRIES_PER_WINDOW));
+        budget.set_allowance(allowance);
         budget
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -110,7 +110,7 @@
             state.membership.live_peers(clock::now()).map(|peer| peer.address).collect()
         };
         for address in addresses {
-            self.send(address, gossip::Kind::Gossip).await;
+            self.send(address, gossip::Kind::Notice).await;
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod listener;
 mod log;
 mod metric;
+mod mirror;
 mod pool;
 mod replication;
 mod request;
--- /dev/null
+++ b/crates/gateway/src/mirror.rs
@@ -0,0 +1,184 @@
+//! A local copy of the store's objects of one kind, with the recent changes for machines that poll
+//! this one.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+use bytes::Bytes;
+use ebonypass_core::time::{Instant, Span};
+use ebonypass_platform::object::{self, Object};
+
+/// Changes kept for machines that poll this one.
+const MAX_CHANGES: usize = 400;
+/// Encoded replies kept for the current revision. Machines that poll mostly know the same one.
+const MAX_ENCODED: usize = 4;
+/// Time without a source after which the copy is no longer given to other machines. A relay has
+/// time to find another source first, so that the machines behind it need not look for one too.
+const STALE_GRACE: Span = Span::from_millis(400);
+/// Age from which a copy is no longer given to other machines, whatever the reason. Ages add up
+/// along the way from the store: 1.5 s at a machine that watches it and 0.9 s for each relay.
+const MAX_AGE: Span = Span::from_secs(5);
+
+#[derive(Debug)]
+struct Change {
+    revision: u64,
+    object: Rc<Object>,
+    is_deleted: bool,
+}
+
+/// Objects that differ after a new list.
+#[derive(Debug, Default)]
+pub struct Difference {
+    /// Objects that are new or have changed.
+    pub changed: Vec<Rc<Object>>,
+    /// Objects that are gone.
+    pub removed: Vec<Rc<Object>>,
+}
+
+/// A copy of the objects of one kind.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    objects: BTreeMap<String, Rc<Object>>,
+    revision: u64,
+    /// When the copy was last known to be current.
+    current_at: Option<Instant>,
+    /// Machines between this one and the store.
+    hops: u8,
+    /// When the source was lost; none while there is one.
+    stale_since: Option<Instant>,
+    changes: VecDeque<Change>,
+    /// `changes` holds every change after this revision.
+    compacted_revision: u64,
+    /// Replies for the current revision, by the revision that the receiver knows.
+    encoded: Vec<(u64, Bytes)>,
+}
+
+impl Mirror {
+    /// The store revision that the copy reflects; 0 before the first list.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The objects in the order of their names.
+    pub fn objects(&self) -> impl Iterator<Item = &Object> {
+        self.objects.values().map(Rc::as_ref)
+    }
+
+    /// The number of machines between this one and the store.
+    pub fn hops(&self) -> u8 {
+        self.hops
+    }
+
+    /// Records that the copy was current at `at`, by a source with `hops` machines between this one
+    /// and the store. Returns whether the source had been lost before.
+    pub fn set_current(&mut self, at: Instant, hops: u8) -> bool {
+        self.hops = hops;
+        self.current_at = self.current_at.max(Some(at));
+        self.stale_since.take().is_some()
+    }
+
+    /// Records that the source was lost. Returns whether there was one.
+    pub fn set_stale(&mut self, now: Instant) -> bool {
+        let had_source = self.stale_since.is_none();
+        self.stale_since.get_or_insert(now);
+        had_source
+    }
+
+    /// Whether the source was lost.
+    pub fn is_stale(&self) -> bool {
+        self.stale_since.is_some()
+    }
+
+    /// When the copy must no longer be given to other machines, unless it is updated before.
+    pub fn expires_at(&self) -> Instant {
+        let by_age = self.current_at.map_or(Instant::ZERO, |at| at + MAX_AGE);
+        self.stale_since.map_or(by_age, |since| by_age.min(since + STALE_GRACE))
+    }
+
+    /// The time for which the copy has not been known to be current.
+    pub fn age(&self, now: Instant) -> Span {
+        self.current_at.map_or(Span::MAX, |at| now.since(at))
+    }
+
+    /// Whether there are changes after `known_revision`.
+    pub fn has_changes_since(&self, known_revision: u64) -> bool {
+        known_revision < self.compacted_revision
+            || self.changes.back().is_some_and(|change| change.revision > known_revision)
+    }
+
+    /// Applies changes, each an object and whether it was deleted, that lead to `revision`.
+    pub fn apply(&mut self, revision: u64, changes: impl IntoIterator<Item = (Rc<Object>, bool)>) {
+        for (object, is_deleted) in changes {
+            self.record(revision, object, is_deleted);
+        }
+        self.set_revision(revision);
+    }
+
+    fn set_revision(&mut self, revision: u64) {
+        self.revision = revision;
+        self.encoded.clear();
+    }
+
+    fn record(&mut self, revision: u64, object: Rc<Object>, is_deleted: bool) {
+        if self.changes.len() >= MAX_CHANGES
+            && let Some(change) = self.changes.pop_front()
+        {
+            self.compacted_revision = self.compacted_revision.max(change.revision);
+        }
+        let name = object.metadata.name.clone();
+        self.changes.push_back(Change { revision, object: object.clone(), is_deleted });
+        if is_deleted {
+            self.objects.remove(&name);
+        } else {
+            self.objects.insert(name, object);
+        }
+    }
+
+    /// Replaces all objects by those of a list, and records the difference as changes.
+    pub fn replace(&mut self, revision: u64, objects: BTreeMap<String, Object>) -> Difference {
+        let gone = self.objects.iter().filter(|(name, _)| !objects.contains_key(*name));
+        let removed: Vec<Rc<Object>> = gone.map(|(_, object)| object.clone()).collect();
+        let differs = |object: &Object| {
+            self.objects.get(&object.metadata.name).is_none_or(|known| **known != *object)
+        };
+        let changed: Vec<Rc<Object>> = objects.into_values().filter(differs).map(Rc::new).collect();
+        let is_first = self.revision == 0;
+        for object in &removed {
+            self.record(revision, object.clone(), true);
+        }
+        for object in &changed {
+            self.record(revision, object.clone(), false);
+        }
+        if is_first {
+            // The history before the first list is unknown.
+            self.changes.clear();
+            self.compacted_revision = revision;
+        }
+        self.set_revision(revision);
+        Difference { changed, removed }
+    }
+
+    /// Encodes the changes after `known_revision`, or the full list if those are no longer all
+    /// kept.
+    pub fn encode_since(&mut self, known_revision: u64) -> Bytes {
+        let known = self.encoded.iter().find(|(known, _)| *known == known_revision);
+        if let Some((_, bytes)) = known {
+            return bytes.clone();
+        }
+        let bytes = Bytes::from(self.encode(known_revision));
+        if self.encoded.len() >= MAX_ENCODED {
+            self.encoded.remove(0);
+        }
+        self.encoded.push((known_revision, bytes.clone()));
+        bytes
+    }
+
+    fn encode(&self, known_revision: u64) -> Vec<u8> {
+        if known_revision < self.compacted_revision || known_revision == 0 {
+            return object::encode_list(self.objects(), self.revision);
+        }
+        let changes = self.changes.iter().filter(|change| change.revision > known_revision);
+        let changes = changes.map(|change| (&*change.object, change.is_deleted));
+        object::encode_changes(changes, self.revision)
+    }
+}
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -1,22 +1,21 @@
 //! Replication of the store's objects between machines.
 //!
-//! In each region one machine, the watcher, watches the store and the others poll it, because calls
-//! to the store are priced and its rate limits grow more slowly than the fleet. A machine that has
-//! no watcher to poll calls the store. One that the store refuses polls any peer that reaches the
-//! store.
+//! Calls to the store are priced and its rate limits grow more slowly than the fleet, so most
+//! machines poll another one; `ebonypass_core::relay` chooses which.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use ebonypass_core::gossip::Peer;
+use ebonypass_core::relay::{Fault, Selector, Step, View};
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_node::clock;
 use ebonypass_platform::object::{self, Kind};
 use futures_lite::future;
 use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::body::Body;
 use crate::gateway::Gateway;
@@ -24,45 +23,71 @@
 use crate::store::{Client, Error};
 
 /// How long a poll waits for newer objects.
-const POLL_WAIT: Duration = Duration::from_millis(1_000);
+const POLL_WAIT: Span = Span::from_millis(500);
 /// Timeout of a poll. Short enough to detect an unresponsive peer and still call the store well
 /// within the 2.5 s after which a leaving target must get no more requests.
-const POLL_TIMEOUT: Duration = Duration::from_millis(1_350);
-/// How long a peer is not polled again after a failed poll.
-const AVOID_TIME: Span = Span::from_secs(3);
+const POLL_TIMEOUT: Duration = Duration::from_millis(850);
 /// Path of a poll: this prefix, the kind's label, `/` and the known revision.
 const PATH_PREFIX: &str = "/mirror/";
+/// Milliseconds for which the copy of the machine that replies has not been known to be current.
+const COPY_AGE: HeaderName = HeaderName::from_static("copy-age-ms");
+/// Machines between the machine that replies and the store.
+const COPY_HOPS: HeaderName = HeaderName::from_static("copy-hops");
+
+/// Status of the reply of a machine that has no copy yet.
+const NO_COPY_YET: StatusCode = StatusCode::TOO_EARLY;
+
+/// Query of a poll that is answered at once: the copy of the peer may not be current.
+const NO_WAIT_QUERY: &str = "now";
 
 /// Answers a peer's poll (long poll): replies once objects are newer than the peer's revision.
 pub async fn handle_poll(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
     let Some((kind, known_revision)) = scan_path(request.uri().path()) else {
         return empty_reply(StatusCode::NOT_FOUND);
     };
-    let deadline = clock::now() + Span::from_micros(POLL_WAIT.as_micros() as u64);
+    let may_wait = request.uri().query() != Some(NO_WAIT_QUERY);
+    let deadline = clock::now() + if may_wait { POLL_WAIT } else { Span::ZERO };
     loop {
         let changed = gateway.mirror_changed.listen();
-        if let Some(response) = poll_reply(&gateway, kind, known_revision, deadline) {
-            return response;
-        }
-        let timer = clock::sleep_until(deadline);
-        future::or(changed, timer).await;
+        let wait_until = match poll_reply(&gateway, kind, known_revision, deadline) {
+            Ok(response) => return response,
+            Err(wait_until) => wait_until,
+        };
+        future::or(changed, clock::sleep_until(wait_until)).await;
     }
 }
 
-/// The reply to a poll, or none while there is nothing newer and the poll may still wait.
+/// The reply to a poll or, while there is nothing newer and the poll may wait, until when.
 fn poll_reply(
     gateway: &Gateway,
     kind: Kind,
     known_revision: u64,
     deadline: Instant,
-) -> Option<Response<Body>> {
-    let state = gateway.state();
-    let mirror = state.mirrors.get(&kind).filter(|mirror| mirror.revision > 0 && !mirror.is_stale);
-    let Some(mirror) = mirror else { return Some(empty_reply(StatusCode::SERVICE_UNAVAILABLE)) };
-    if mirror.revision > known_revision {
-        return Some(Response::new(Body::whole(mirror.encode_since(known_revision))));
+) -> Result<Response<Body>, Instant> {
+    let now = clock::now();
+    let mut state = gateway.state();
+    let mirror = state.mirrors.entry(kind).or_default();
+    if mirror.revision() == 0 {
+        // A machine that has just started may get a copy soon.
+        return if now < deadline { Err(deadline) } else { Ok(empty_reply(NO_COPY_YET)) };
+    }
+    if now >= mirror.expires_at() {
+        return Ok(empty_reply(StatusCode::SERVICE_UNAVAILABLE));
     }
-    (clock::now() >= deadline).then(|| empty_reply(StatusCode::NO_CONTENT))
+    let is_newer = mirror.revision() > known_revision;
+    let mut response = if mirror.has_changes_since(known_revision) && is_newer {
+        Response::new(Body::whole(mirror.encode_since(known_revision)))
+    } else if now < deadline {
+        return Err(deadline.min(mirror.expires_at()));
+    } else if is_newer {
+        Response::new(Body::whole(mirror.encode_since(known_revision)))
+    } else {
+        empty_reply(StatusCode::NO_CONTENT)
+    };
+    let headers = response.headers_mut();
+    headers.insert(COPY_AGE, HeaderValue::from(mirror.age(now).as_millis()));
+    headers.insert(COPY_HOPS, HeaderValue::from(u16::from(mirror.hops())));
+    Ok(response)
 }
 
 fn scan_path(path: &str) -> Option<(Kind, u64)> {
@@ -70,101 +95,79 @@
     Some((Kind::from_label(label)?, revision.parse().ok()?))
 }
 
-/// Ranks the machines of a region; the lowest rank that reaches the store is the watcher.
-fn rank(peer: &Peer) -> u64 {
-    xxh3_64(peer.name.as_bytes())
-}
-
 /// Polls peers for the objects of one kind.
 #[derive(Debug)]
 pub struct Poller {
     kind: Kind,
     client: Option<Client>,
-    avoided: Option<(SocketAddr, Instant)>,
 }
 
 impl Poller {
     /// Creates a poller without a connection.
     pub fn new(kind: Kind) -> Poller {
-        Poller { kind, client: None, avoided: None }
-    }
-
-    /// The address of this region's watcher; none if that is this machine or it is avoided.
-    pub fn watcher(&self, gateway: &Gateway) -> Option<SocketAddr> {
-        let state = gateway.state();
-        let region = &gateway.settings.region;
-        let is_in_region =
-            |peer: &&Peer| gateway.settings.regions.get(&peer.centre) == Some(region);
-        let peers = state.membership.live_peers(clock::now()).filter(is_in_region);
-        let peers = peers.filter(|peer| peer.heartbeat.store_up_ds > 0);
-        let own = state.membership.own();
-        let watcher = peers.chain([own]).min_by_key(|peer| rank(peer))?;
-        let address = SocketAddr::new(watcher.address, gateway.settings.listen.mesh_port);
-        (watcher.name != own.name && !self.is_avoided(address)).then_some(address)
-    }
-
-    /// How many live peers of the region rank before this machine as watcher, avoided ones left
-    /// out.
-    pub fn rank(&self, gateway: &Gateway) -> u64 {
-        let own = rank(gateway.state().membership.own());
-        self.count_in_region(gateway, |peer| rank(peer) < own)
-    }
-
-    /// The number of live machines of the region including this one, avoided ones left out.
-    pub fn region_size(&self, gateway: &Gateway) -> u64 {
-        self.count_in_region(gateway, |_| true) + 1
+        Poller { kind, client: None }
     }
 
-    fn count_in_region(&self, gateway: &Gateway, is_counted: impl Fn(&Peer) -> bool) -> u64 {
-        let state = gateway.state();
-        let region = &gateway.settings.region;
-        let port = gateway.settings.listen.mesh_port;
-        let in_region = state.membership.live_peers(clock::now()).filter(|peer| {
-            gateway.settings.regions.get(&peer.centre) == Some(region)
-                && !self.is_avoided(SocketAddr::new(peer.address, port))
-        });
-        in_region.filter(|peer| is_counted(peer)).count() as u64
-    }
-
-    /// A peer of any region that reaches the store; the last one polled if possible, else a random
-    /// one.
-    pub fn peer_with_store(&self, gateway: &Gateway) -> Option<SocketAddr> {
-        let state = gateway.state();
-        let port = gateway.settings.listen.mesh_port;
-        let peers =
-            state.membership.live_peers(clock::now()).filter(|peer| peer.heartbeat.store_up_ds > 0);
-        let peers: Vec<SocketAddr> = peers
-            .map(|peer| SocketAddr::new(peer.address, port))
-            .filter(|address| !self.is_avoided(*address))
-            .collect();
-        let last_polled = self.client.as_ref().map(Client::address);
-        let last_polled = last_polled.filter(|address| peers.contains(address));
-        last_polled.or_else(|| fastrand::choice(peers))
-    }
-
-    fn is_avoided(&self, address: SocketAddr) -> bool {
-        self.avoided.is_some_and(|(other, until)| other == address && clock::now() < until)
-    }
-
-    /// Polls `peer` for newer objects and applies them.
+    /// Polls the machine at `address` for newer objects and applies them. Returns the age of its
+    /// copy and the number of machines between it and the store.
     ///
-    /// Errors: the peer did not answer or has no current copy. It is avoided for [`AVOID_TIME`].
-    pub async fn poll(&mut self, gateway: &Rc<Gateway>, peer: SocketAddr) -> Result<(), Error> {
+    /// Errors: the peer did not answer or has no current copy.
+    pub async fn poll(&mut self, gateway: &Rc<Gateway>, address: IpAddr) -> Result<Origin, Error> {
+        let peer = SocketAddr::new(address, gateway.settings.listen.mesh_port);
         let client = match self.client.take() {
             Some(client) if client.address() == peer => client,
             _ => Client::new(gateway.executor.clone(), peer),
         };
-        let path = format!("{PATH_PREFIX}{}/{}", self.kind.label(), gateway.revision(self.kind));
-        let reply = client.call(Method::GET, &path, Vec::new(), POLL_TIMEOUT).await;
-        let result = reply.and_then(|bytes| apply_reply(gateway, self.kind, &bytes));
-        match result {
-            Ok(()) => self.client = Some(client),
-            Err(_) => self.avoided = Some((peer, clock::now() + AVOID_TIME)),
+        let mut path =
+            format!("{PATH_PREFIX}{}/{}", self.kind.label(), gateway.revision(self.kind));
+        if gateway.is_stale(self.kind) {
+            path = format!("{path}?{NO_WAIT_QUERY}");
         }
-        result
+        let reply = client.call(Method::GET, &path, Vec::new(), POLL_TIMEOUT).await?;
+        let origin = scan_origin(reply.headers());
+        let origin = origin.ok_or_else(|| Error::NoReply("the reply states no age".to_owned()))?;
+        apply_reply(gateway, self.kind, reply.body())?;
+        self.client = Some(client);
+        Ok(origin)
     }
 }
 
+/// How far a peer's copy is from the store.
+#[derive(Debug, Clone, Copy)]
+pub struct Origin {
+    /// Time for which the copy has not been known to be current.
+    pub age: Span,
+    /// Machines between the peer and the store.
+    pub hops: u8,
+}
+
+fn scan_origin(headers: &HeaderMap) -> Option<Origin> {
+    let number = |name: HeaderName| headers.get(name)?.to_str().ok()?.parse::<u64>().ok();
+    let hops = u8::try_from(number(COPY_HOPS)?).ok()?;
+    Some(Origin { age: Span::from_millis(number(COPY_AGE)?), hops })
+}
+
+/// The fault of a peer whose poll failed.
+pub fn fault(error: &Error) -> Fault {
+    match error {
+        Error::Refused(NO_COPY_YET) => Fault::Empty,
+        Error::Refused(_) => Fault::Stale,
+        _ => Fault::Unreachable,
+    }
+}
+
+/// The next step of a selector, given the live machines.
+pub fn next_step(gateway: &Gateway, selector: &mut Selector) -> Step {
+    let now = clock::now();
+    let state = gateway.state();
+    let own_region = Some(&gateway.settings.region);
+    let is_in_region = |peer: &&Peer| gateway.settings.regions.get(&peer.centre) == own_region;
+    let (region, elsewhere): (Vec<&Peer>, Vec<&Peer>) =
+        state.membership.live_peers(now).partition(is_in_region);
+    let own = state.membership.own();
+    selector.next_step(now, &View { own, region: &region, elsewhere: &elsewhere })
+}
+
 /// Applies a peer's reply; an empty one means that nothing is newer.
 fn apply_reply(gateway: &Gateway, kind: Kind, bytes: &[u8]) -> Result<(), Error> {
     if bytes.is_empty() {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -141,7 +141,7 @@
     let mut is_registered = false;
     let mut interval = MIN_DISCOVERY_INTERVAL;
     loop {
-        if !is_registered && gateway.store_reachable_since.get().is_some() {
+        if !is_registered && gateway.store_uptime() > Span::ZERO {
             is_registered = register_machine(gateway, &client).await;
         }
         let is_alone = gateway.state().membership.live_peers(clock::now()).next().is_none();
@@ -173,8 +173,8 @@
 async fn discover_machines(gateway: &Gateway, gossip: &Gossip, client: &Client) {
     let path = object::list_path(Kind::Machine, None);
     match client.call(Method::GET, &path, Vec::new(), REGISTRATION_TIMEOUT).await {
-        Ok(bytes) => {
-            let page = object::scan_page(&bytes);
+        Ok(reply) => {
+            let page = object::scan_page(reply.body());
             let objects = page.map(|page| page.objects).unwrap_or_default();
             gossip
                 .request_heartbeats(objects.iter().filter_map(registry::scan_machine).collect())
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -74,6 +74,25 @@
     pub memory_mb: u64,
     /// Limit on file descriptors.
     pub descriptors: usize,
+    /// Share of a processor core.
+    pub cpu_share: f64,
+    /// Bandwidth of the machine's link in Mbit/s.
+    pub link_mbps: f64,
+}
+
+/// Share of a core of a machine of strength 1.
+const CPU_SHARE_PER_STRENGTH: f64 = 0.1;
+/// Bandwidth of a machine of strength 1 in Mbit/s.
+const LINK_MBPS_PER_STRENGTH: f64 = 10.0;
+
+impl Limits {
+    /// How much work the machine can take, in units of the weakest machine. The scarcer of
+    /// processor and link decides.
+    pub fn strength(&self) -> u8 {
+        let by_cpu = self.cpu_share / CPU_SHARE_PER_STRENGTH;
+        let by_link = self.link_mbps / LINK_MBPS_PER_STRENGTH;
+        by_cpu.min(by_link).round().clamp(1.0, f64::from(u8::MAX)) as u8
+    }
 }
 
 /// Time limits set by the platform.
@@ -131,6 +150,8 @@
         }
         check_range("limits.memory_mb", self.limits.memory_mb, 32..=1 << 20)?;
         check_range("limits.descriptors", self.limits.descriptors, 64..=1 << 20)?;
+        check_range("limits.cpu_share", self.limits.cpu_share, 0.001..=1_024.0)?;
+        check_range("limits.link_mbps", self.limits.link_mbps, 0.1..=1e6)?;
         check_range("shared.repeat_ratio", self.shared.retry_ratio, 0.0..=1.0)?;
         check_range("shared.repeat_allowance", self.shared.retry_allowance, 0.0..=1e6)?;
         check_range("shared.repeat_window_s", self.shared.retry_window_s, 0.1..=3_600.0)?;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures_lite::future;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, StatusCode, header};
+use hyper::{Method, Request, Response, StatusCode, header};
 use smol::{LocalExecutor, Timer};
 
 use crate::connection::{Connection, Error as ConnectionError};
@@ -62,7 +62,7 @@
         self.address
     }
 
-    /// Makes a call and returns the body of the reply.
+    /// Makes a call and returns the reply.
     ///
     /// Errors: no reply within `timeout`, after which a write may or may not have been applied, or
     /// a status other than success.
@@ -72,7 +72,7 @@
         path: &str,
         body: Vec<u8>,
         timeout: Duration,
-    ) -> Result<Bytes, Error> {
+    ) -> Result<Response<Bytes>, Error> {
         let timer = async {
             Timer::after(timeout).await;
             Err(Error::NoReply("timeout".to_owned()))
@@ -91,7 +91,7 @@
         method: Method,
         path: &str,
         body: Vec<u8>,
-    ) -> Result<(Connection, Result<Bytes, Error>), Error> {
+    ) -> Result<(Connection, Result<Response<Bytes>, Error>), Error> {
         let reusable = match connection {
             Some(mut connection) => connection.is_ready().await.then_some(connection),
             None => None,
@@ -114,11 +114,11 @@
                 Error::NoReply(reason)
             }
         })?;
-        let status = reply.status();
-        let body = Limited::new(reply.into_body(), MAX_REPLY_BYTES).collect().await;
+        let (head, body) = reply.into_parts();
+        let body = Limited::new(body, MAX_REPLY_BYTES).collect().await;
         let body = body.map_err(|error| Error::NoReply(error.to_string()))?.to_bytes();
-        let result = match status {
-            status if status.is_success() => Ok(body),
+        let result = match head.status {
+            status if status.is_success() => Ok(Response::from_parts(head, body)),
             StatusCode::GONE => Err(Error::HistoryGone),
             StatusCode::CONFLICT | StatusCode::NOT_FOUND => Err(Error::Conflict),
             status => Err(Error::Refused(status)),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -1,22 +1,25 @@
 //! Keeps the local copy of the store's objects current, and applies changes to the gateway's state.
 
-use std::collections::{BTreeMap, HashSet};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use ebonypass_core::relay::{self, Selector, Step};
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_node::clock;
 use ebonypass_node::event::Event;
 use ebonypass_platform::config::{Config, scan_config};
 use ebonypass_platform::object::{self, Kind, Object};
 use ebonypass_platform::registry;
-use hyper::Method;
+use hyper::{Method, Response};
 use serde_json::json;
 
 use crate::gateway::Gateway;
 use crate::metric::CallLabels;
-use crate::replication::Poller;
+use crate::mirror::Mirror;
+use crate::replication::{Poller, fault, next_step};
 use crate::store::{Client, Error};
 
 /// Timeout of a list call.
@@ -30,22 +33,8 @@
 /// Delay before the next watch after changes of targets, so that changes close together cost one
 /// call. Far below the 2.5 s after which a leaving target must get no more requests.
 const BATCH_DELAY: Span = Span::from_millis(250);
-/// How long machines wait for each other's heartbeats at a first start; requests come 8 s after it.
-const FIRST_START_WAIT: Span = Span::from_millis(1_500);
-/// Additional wait at a first start for each machine that ranks ahead of this one: a store call and
-/// the three rounds of heartbeats that spread its success.
-const FIRST_START_WAIT_PER_RANK: Span = Span::from_millis(1_300);
-/// Limit on the rank used for these delays.
-const MAX_RANK: u64 = 3;
-/// Interval of checks for a peer that reaches the store.
+/// Time between two checks for a machine to poll.
 const POLL_INTERVAL: Span = Span::from_millis(100);
-/// Delay of this machine's store call after the loss of the watcher, for each machine that ranks
-/// ahead of it.
-const TAKEOVER_DELAY_PER_RANK: Span = Span::from_millis(250);
-/// Bounds of the backoff after a failed call, before it is multiplied by the machines of the
-/// region.
-const MIN_BACKOFF: Span = Span::from_millis(100);
-const MAX_BACKOFF: Span = Span::from_millis(400);
 /// Delay before a full list is read because the store no longer has the history.
 const RELIST_DELAY: Span = Span::from_millis(20);
 /// Target entries that expired during a store outage are registered again within about 2 s of its
@@ -59,59 +48,46 @@
     client: Client,
     poller: Poller,
     kind: Kind,
-    /// Earliest time of the next store call; none while this machine polls the watcher of its
-    /// region.
-    next_attempt: Option<Instant>,
-    /// Backoff after the next failed call, before it is multiplied by the machines of the region.
-    backoff: Span,
+    selector: Selector,
+    /// Time of the last failed store call.
+    failed_at: Instant,
 }
 
 impl Synchronizer {
     /// Creates a synchronizer for `kind`.
     pub fn new(gateway: &Rc<Gateway>, kind: Kind) -> Synchronizer {
         let client = Client::new(gateway.executor.clone(), gateway.settings.store.address);
+        let is_first_start = gateway.settings.is_first_start;
+        let delay = if is_first_start { relay::FIRST_START_DELAY } else { relay::START_DELAY };
         Synchronizer {
             gateway: gateway.clone(),
             client,
             poller: Poller::new(kind),
             kind,
-            next_attempt: None,
-            backoff: MIN_BACKOFF,
+            selector: Selector::new(clock::now(), delay),
+            failed_at: Instant::ZERO,
         }
     }
 
-    /// Polls the region's watcher if there is one, else calls the store. While the store does not
-    /// answer this machine, polls any peer that reaches it.
+    /// Polls other machines or calls the store, as the selector says.
     pub async fn run(mut self) {
-        self.wait_for_watcher().await;
         loop {
-            if let Some(watcher) = self.poller.watcher(&self.gateway)
-                && self.poll_peer(watcher).await
-            {
-                self.gateway.store_reachable_since.set(None);
-                self.next_attempt = None;
-                self.backoff = MIN_BACKOFF;
-                continue;
+            if self.gateway.store_contact.get().answered_at > self.failed_at {
+                self.failed_at = Instant::MAX;
+                self.selector.end_pause(clock::now());
             }
-            let now = clock::now();
-            let next_attempt = *self.next_attempt.get_or_insert_with(|| {
-                now + TAKEOVER_DELAY_PER_RANK.times(self.poller.rank(&self.gateway).min(MAX_RANK))
-            });
-            if now >= next_attempt {
-                self.sync_with_store().await;
-            } else if let Some(peer) = self.poller.peer_with_store(&self.gateway) {
-                if !self.poll_peer(peer).await {
+            match next_step(&self.gateway, &mut self.selector) {
+                Step::CallStore => self.sync_with_store().await,
+                Step::Poll(address) => self.poll_peer(address).await,
+                Step::Wait => {
+                    self.gateway.set_stale(self.kind);
                     clock::sleep(POLL_INTERVAL).await;
                 }
-            } else {
-                clock::sleep(POLL_INTERVAL.min(next_attempt.since(now))).await;
             }
         }
     }
 
-    /// Calls the store once, and backs off if that fails. The backoff grows with the number of
-    /// machines in the region, which together call about as often as one would alone: failed calls
-    /// are priced too.
+    /// Calls the store once.
     async fn sync_with_store(&mut self) {
         let is_known = self.gateway.revision(self.kind) > 0;
         let mut result = if is_known { self.watch().await } else { self.list().await };
@@ -121,44 +97,36 @@
             result = self.list().await;
         }
         match result {
-            Ok(()) => self.backoff = MIN_BACKOFF,
+            Ok(()) => self.selector.record_call(),
             Err(error) => {
                 self.record_failure(&error);
-                let machines = self.poller.region_size(&self.gateway);
-                self.next_attempt = Some(clock::now() + jitter(self.backoff.times(machines)));
-                self.backoff = self.backoff.times(2).min(MAX_BACKOFF);
+                self.failed_at = clock::now();
+                let machines = self.gateway.live_machines_in_region();
+                self.selector.record_failed_call(self.failed_at, machines, fastrand::f64());
             }
         }
     }
 
-    /// At a first start, waits until a peer of the region reaches the store or this machine's rank
-    /// lets it call the store. All machines start together, and each call is priced.
-    async fn wait_for_watcher(&self) {
-        if !self.gateway.settings.is_first_start {
-            return;
-        }
-        let start = clock::now();
-        while self.poller.watcher(&self.gateway).is_none() {
-            let rank = self.poller.rank(&self.gateway).min(MAX_RANK);
-            if clock::now().since(start) >= FIRST_START_WAIT + FIRST_START_WAIT_PER_RANK.times(rank)
-            {
-                return;
+    async fn poll_peer(&mut self, address: IpAddr) {
+        let result = self.poller.poll(&self.gateway, address).await;
+        let now = clock::now();
+        match result {
+            Ok(origin) if self.selector.record_answer(now, address, origin.hops) => {
+                self.gateway.set_current(self.kind, now, origin.age, origin.hops + 1);
+            }
+            Ok(_) => {
+                self.gateway.set_stale(self.kind);
+            }
+            Err(error) => {
+                let fields = json!({ "kind": self.kind.label(), "peer": address.to_string(), "error": error.to_string() });
+                self.gateway.log.record(Event::PeerUnresponsive, fields);
+                self.selector.record_fault(now, address, fault(&error));
+                self.gateway.set_stale(self.kind);
             }
-            clock::sleep(POLL_INTERVAL).await;
-        }
-    }
-
-    /// Polls a peer, and returns whether it answered.
-    async fn poll_peer(&mut self, peer: SocketAddr) -> bool {
-        let result = self.poller.poll(&self.gateway, peer).await;
-        if let Err(error) = &result {
-            let fields = json!({ "kind": self.kind.label(), "peer": peer.to_string(), "error": error.to_string() });
-            self.gateway.log.record(Event::PeerUnresponsive, fields);
         }
-        result.is_ok()
     }
 
-    async fn get(&mut self, path: &str, timeout: Duration) -> Result<bytes::Bytes, Error> {
+    async fn get(&mut self, path: &str, timeout: Duration) -> Result<Bytes, Error> {
         let result = self.client.call(Method::GET, path, Vec::new(), timeout).await;
         let label = match &result {
             Ok(_) => "ok",
@@ -169,10 +137,11 @@
         };
         let labels = CallLabels { kind: self.kind.label(), result: label };
         self.gateway.metrics.store_calls.get_or_create(&labels).inc();
-        result
+        result.map(Response::into_body)
     }
 
     async fn list(&mut self) -> Result<(), Error> {
+        let start = clock::now();
         let mut objects = BTreeMap::new();
         let mut after = None;
         let revision = loop {
@@ -188,22 +157,24 @@
                 None => break page.revision,
             }
         };
-        self.record_success();
         self.gateway.replace_objects(self.kind, objects, revision);
+        self.record_success(clock::now().since(start));
         Ok(())
     }
 
     /// Makes one watch call and applies its changes.
     async fn watch(&mut self) -> Result<(), Error> {
         let revision = self.gateway.revision(self.kind);
-        let path = object::watch_path(self.kind, revision, WATCH_WAIT_MS);
+        // A copy that may not be current is confirmed at once.
+        let wait_ms = if self.gateway.is_stale(self.kind) { 0 } else { WATCH_WAIT_MS };
+        let path = object::watch_path(self.kind, revision, wait_ms);
         let timeout = Duration::from_millis(WATCH_WAIT_MS) + WATCH_TIMEOUT_MARGIN;
         let bytes = self.get(&path, timeout).await?;
         let changes = object::scan_changes(&bytes)
             .ok_or_else(|| Error::NoReply("cannot decode the changes".to_owned()))?;
-        self.record_success();
         let has_changes = !changes.events.is_empty();
         self.gateway.apply_changes(self.kind, changes.events, changes.revision);
+        self.record_success(Span::ZERO);
         if has_changes && self.kind == Kind::Target {
             clock::sleep(BATCH_DELAY).await;
         }
@@ -211,92 +182,103 @@
     }
 
     fn record_failure(&self, error: &Error) {
-        self.gateway.store_reachable_since.set(None);
-        if !self.set_stale(true) {
+        let mut contact = self.gateway.store_contact.get();
+        contact.record_failure();
+        self.gateway.store_contact.set(contact);
+        if self.gateway.set_stale(self.kind) {
             let fields = json!({ "kind": self.kind.label(), "error": error.to_string() });
             self.gateway.log.record(Event::StoreUnreachable, fields);
         }
     }
 
-    fn record_success(&self) {
-        if self.gateway.store_reachable_since.get().is_none() {
-            self.gateway.store_reachable_since.set(Some(clock::now()));
-        }
-        if self.set_stale(false) {
+    /// Records an answer of the store after which the copy was current `age` ago.
+    fn record_success(&self, age: Span) {
+        let now = clock::now();
+        let mut contact = self.gateway.store_contact.get();
+        contact.record_answer(now);
+        self.gateway.store_contact.set(contact);
+        if self.gateway.set_current(self.kind, now, age, 0) {
             self.gateway.log.record(Event::StoreReachable, json!({ "kind": self.kind.label() }));
         }
     }
-
-    /// Sets whether the copy is stale, and returns the previous value.
-    fn set_stale(&self, is_stale: bool) -> bool {
-        let mut state = self.gateway.state();
-        let mirror = state.mirrors.entry(self.kind).or_default();
-        let was_stale = std::mem::replace(&mut mirror.is_stale, is_stale);
-        if is_stale && !was_stale {
-            // Wakes polls of peers, which must find another source.
-            self.gateway.mirror_changed.notify(usize::MAX);
-        }
-        was_stale
-    }
-}
-
-/// A random time between half of `delay` and all of it, so that machines do not call at the same
-/// time.
-fn jitter(delay: Span) -> Span {
-    let half = delay.as_micros() / 2;
-    Span::from_micros(half + fastrand::u64(0..=half))
 }
 
 impl Gateway {
     /// The store revision that the copy of `kind` reflects; 0 before the first list.
     pub fn revision(&self, kind: Kind) -> u64 {
-        self.state().mirrors.get(&kind).map_or(0, |mirror| mirror.revision)
+        self.state().mirrors.get(&kind).map_or(0, Mirror::revision)
+    }
+
+    /// Records that the copy of `kind` was current `age` ago, by a source with `hops` machines
+    /// between this one and the store. Returns whether the source had been lost before.
+    fn set_current(&self, kind: Kind, now: Instant, age: Span, hops: u8) -> bool {
+        let at = Instant::from_micros(now.as_micros().saturating_sub(age.as_micros()));
+        self.state().mirrors.entry(kind).or_default().set_current(at, hops)
+    }
+
+    /// Whether the source of the copy of `kind` was lost.
+    pub fn is_stale(&self, kind: Kind) -> bool {
+        self.state().mirrors.get(&kind).is_some_and(Mirror::is_stale)
+    }
+
+    /// Records that the source of the copy of `kind` was lost. Returns whether there was one.
+    fn set_stale(&self, kind: Kind) -> bool {
+        let had_source = self.state().mirrors.entry(kind).or_default().set_stale(clock::now());
+        if had_source {
+            // Wakes polls of peers, which end when the copy expires.
+            self.mirror_changed.notify(usize::MAX);
+        }
+        had_source
+    }
+
+    /// The number of live machines of this region, this one included.
+    fn live_machines_in_region(&self) -> usize {
+        let state = self.state();
+        let region = Some(&self.settings.region);
+        let peers = state.membership.live_peers(clock::now());
+        peers.filter(|peer| self.settings.regions.get(&peer.centre) == region).count() + 1
     }
 
     /// Replaces all objects of `kind`, unless the list is older than the copy.
     pub fn replace_objects(&self, kind: Kind, objects: BTreeMap<String, Object>, revision: u64) {
-        let changed: Vec<Object> = objects.values().cloned().collect();
-        let removed = {
+        let difference = {
             let mut state = self.state();
             let mirror = state.mirrors.entry(kind).or_default();
-            if revision < mirror.revision {
+            if revision < mirror.revision() {
                 return;
             }
             mirror.replace(revision, objects)
         };
-        self.apply(kind, changed, removed);
+        self.apply(kind, &difference.changed, &difference.removed);
         self.mirror_changed.notify(usize::MAX);
     }
 
     /// Applies changes of `kind`, unless they are older than the copy.
     pub fn apply_changes(&self, kind: Kind, events: Vec<(Object, bool)>, revision: u64) {
-        let (mut changed, mut removed) = (Vec::new(), Vec::new());
+        let events: Vec<(Rc<Object>, bool)> =
+            events.into_iter().map(|(object, is_deleted)| (Rc::new(object), is_deleted)).collect();
         {
             let mut state = self.state();
             let mirror = state.mirrors.entry(kind).or_default();
-            if revision < mirror.revision {
+            if revision < mirror.revision() {
                 return;
             }
-            mirror.revision = revision;
-            for (object, is_deleted) in events {
-                let name = object.metadata.name.clone();
-                changed.retain(|other: &Object| other.metadata.name != name);
-                removed.retain(|other: &Object| other.metadata.name != name);
-                mirror.apply_change(revision, object.clone(), is_deleted);
-                if is_deleted {
-                    removed.push(object);
-                } else {
-                    changed.push(object);
-                }
-            }
+            mirror.apply(revision, events.iter().cloned());
+        }
+        // The last change of each object counts.
+        let last: HashMap<&str, &(Rc<Object>, bool)> =
+            events.iter().map(|event| (event.0.metadata.name.as_str(), event)).collect();
+        let (mut changed, mut removed) = (Vec::new(), Vec::new());
+        for (object, is_deleted) in last.into_values() {
+            (if *is_deleted { &mut removed } else { &mut changed }).push(object.clone());
         }
         if !changed.is_empty() || !removed.is_empty() {
-            self.apply(kind, changed, removed);
+            self.apply(kind, &changed, &removed);
             self.mirror_changed.notify(usize::MAX);
         }
     }
 
-    fn apply(&self, kind: Kind, changed: Vec<Object>, removed: Vec<Object>) {
+    fn apply(&self, kind: Kind, changed: &[Rc<Object>], removed: &[Rc<Object>]) {
         match kind {
             Kind::Config => changed.iter().for_each(|object| self.apply_config(object)),
             Kind::Evacuation => self.apply_evacuations(),
@@ -341,9 +323,9 @@
     fn apply_evacuations(&self) {
         let mut state = self.state();
         let mirror = state.mirrors.entry(Kind::Evacuation).or_default();
-        let objects = mirror.objects.values().filter(|object| !object.metadata.deleting);
+        let objects = mirror.objects().filter(|object| !object.metadata.deleting);
         let centres: HashSet<String> = objects.map(|object| object.metadata.name.clone()).collect();
-        let fields = json!({ "data_centres": centres, "revision": mirror.revision });
+        let fields = json!({ "data_centres": centres, "revision": mirror.revision() });
         state.balancer.set_evacuated_centres(centres);
         drop(state);
         self.log.record(Event::EvacuationsChanged, fields);
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -18,6 +18,8 @@
 #[test_case("region = \"zurich\"", "region = \"geneva\"", "region"; "the region of another data centre")]
 #[test_case("metrics_port = 7621", "metrics_port = 7620", "listen.metrics_port"; "one port twice")]
 #[test_case("memory_mb = 260", "memory_mb = 1", "limits.memory_mb"; "too little memory")]
+#[test_case("cpu_share = 0.2", "cpu_share = 0.0", "limits.cpu_share"; "no processor")]
+#[test_case("link_mbps = 1000", "link_mbps = 0", "limits.link_mbps"; "no link")]
 #[test_case("repeat_ratio = 0.2", "repeat_ratio = 2.0", "shared.repeat_ratio"; "a ratio over one")]
 #[test_case("grace_ms = 6000", "grace = 6", "grace"; "an unknown field")]
 fn names_the_invalid_field(old: &str, new: &str, field: &str) {
