Answer requests in flight before a stopping process exits

Change: 0.45 s before the end of the grace period each request gets its final reply: 504 if a target may have run it, 503 if nothing was sent.

Checked: a_stop_answers_requests_that_it_cannot_finish (gateway, fleet.rs) fails without the change ("a reply to the running request") and passes with it.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use ebonypass_platform::config::Limits;
 use ebonypass_platform::object::Kind;
 use event_listener::Event as Signal;
+use futures_lite::future;
 use smol::LocalExecutor;
 
 use crate::log::Log;
@@ -121,6 +122,10 @@
     pub store_contact: Cell<StoreContact>,
     /// The current shutdown phase.
     pub phase: Cell<Phase>,
+    /// When requests in flight get their final replies; never before a shutdown.
+    pub cutoff: Cell<Instant>,
+    /// Notified when `cutoff` is set.
+    pub cutoff_set: Signal,
     /// Notified when a mirror changes or becomes stale.
     pub mirror_changed: Signal,
     state: RefCell<State>,
@@ -169,6 +174,8 @@
             connections: Cell::new(0),
             store_contact: Cell::default(),
             phase: Cell::new(Phase::Serving),
+            cutoff: Cell::new(Instant::MAX),
+            cutoff_set: Signal::new(),
             mirror_changed: Signal::new(),
             state: RefCell::new(state),
             executor,
@@ -186,6 +193,18 @@
         self.phase.get() == Phase::Serving && self.state().version > 0
     }
 
+    /// Waits until `deadline` or, during a shutdown, the earlier time of the final replies.
+    pub async fn wait_for_deadline(&self, deadline: Instant) {
+        loop {
+            let cutoff_set = self.cutoff_set.listen();
+            let end = deadline.min(self.cutoff.get());
+            if clock::now() >= end {
+                return;
+            }
+            future::or(clock::sleep_until(end), cutoff_set).await;
+        }
+    }
+
     /// How long every store call of this machine has succeeded.
     pub fn store_uptime(&self) -> Span {
         self.store_contact.get().uptime(clock::now())
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -270,7 +270,7 @@
         return Err(Reason::BodyTooLarge);
     }
     let timer = async {
-        clock::sleep_until(deadline).await;
+        gateway.wait_for_deadline(deadline).await;
         Err(Reason::DeadlinePassed)
     };
     let body = async {
@@ -345,7 +345,7 @@
         let start = clock::now();
         let guard = AttemptGuard::new(gateway, &choice);
         let timer = async {
-            clock::sleep_until(job.deadline).await;
+            gateway.wait_for_deadline(job.deadline).await;
             None
         };
         let attempt = async { Some(send_attempt(gateway, &job, &choice).await) };
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -35,6 +35,8 @@
 const LEAVE_DURATION: Span = Span::from_millis(2_500);
 /// The process exits this long before the end of the grace period, when it would be killed.
 const KILL_MARGIN: Span = Span::from_millis(250);
+/// Requests in flight get their final replies this long before the process exits.
+const FINAL_REPLY_TIME: Span = Span::from_millis(200);
 
 /// A running gateway.
 #[derive(Debug)]
@@ -86,6 +88,8 @@
         self.gossip.announce_leaving().await;
         let grace = Span::from_micros(gateway.settings.times.grace.as_micros() as u64);
         let end = start + (grace - KILL_MARGIN);
+        gateway.cutoff.set(start + (grace - KILL_MARGIN - FINAL_REPLY_TIME));
+        gateway.cutoff_set.notify(usize::MAX);
         let leave_end = (start + LEAVE_DURATION).min(end);
         clock::sleep_until(leave_end).await;
         gateway.phase.set(Phase::Refusing);
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -61,6 +61,39 @@
     assert!(start.elapsed() < Duration::from_secs(6));
 }
 
+/// Guards against requests that are dropped without a reply at the end of the grace period: one that
+/// a target still runs, and one whose body has not arrived.
+#[test]
+fn a_stop_answers_requests_that_it_cannot_finish() {
+    let target = Target::new("t-1", Behaviour::Normal(Duration::from_secs(20)));
+    let (store, gateway) = start_gateway(&[&target]);
+    let mut long_timeout = config(3, &ROUTES);
+    for row in 0..ROUTES.len() {
+        long_timeout["spec"]["routes"]["rows"][row][4] = 20_000.into();
+    }
+    store.put("config", "main", long_timeout);
+    wait_until("the configuration is active", || {
+        gateway.log.lock().unwrap().iter().any(|line| line["version"] == 3)
+    });
+    let send = |bytes: Vec<u8>| {
+        let text = String::from_utf8(bytes).unwrap().replace("-Ms: 3000", "-Ms: 20000");
+        let mut caller = TcpStream::connect(gateway.callers).unwrap();
+        caller.write_all(text.as_bytes()).unwrap();
+        BufReader::new(caller)
+    };
+    let mut running = send(request("POST", "/once/a", "id-1", "x"));
+    let mut incomplete = request("POST", "/once/a", "id-2", "a body of 20 bytes..");
+    incomplete.truncate(incomplete.len() - 5);
+    let mut incomplete = send(incomplete);
+    wait_until("the request runs", || target.count() == 1);
+    gateway.signal("-TERM");
+    let reply = Message::read(&mut running).expect("a reply to the running request");
+    assert_eq!(reply.status(), 504, "it may have run");
+    let reply = Message::read(&mut incomplete).expect("a reply to the incomplete request");
+    assert_eq!(reply.status(), 503, "it did not run");
+    assert_eq!(target.count(), 1);
+}
+
 #[test]
 fn a_stopping_machine_still_serves_new_requests() {
     let target = Target::new("t-1", NORMAL);
