Bound what a target can make the gateway read, and distrust replies without an id

Change: a stream below hyper lets other tasks run after four reads, gives up on a head that takes over 200 reads, and reads at most 32 KB at once. Streamed replies end at the request's deadline, visibly incomplete. A reply without an id on a used connection counts as lost.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, header as http_header};
 use serde_json::json;
+use smol::Timer;
 
 use crate::body::Body;
 use crate::connection::{Connection, Error as ConnectionError, error_with_source};
@@ -86,6 +87,7 @@
     *request.headers_mut() = job.headers.clone();
     let time_left = job.deadline.since(clock::now());
     header::set_target_headers(&mut request, time_left, &name);
+    let is_reused = matches!(checkout.origin, pool::Origin::Reused(_));
     let mut connection = checkout.connection;
     let start = clock::now();
     let response = match connection.send(request).await {
@@ -100,7 +102,7 @@
             return Outcome::Lost(error);
         }
     };
-    read_reply(gateway, job, target, connection, response).await
+    read_reply(gateway, job, target, connection, is_reused, response).await
 }
 
 /// The URI in origin form: path and query only.
@@ -114,6 +116,7 @@
     job: &Job,
     target: TargetId,
     connection: Connection,
+    is_reused: bool,
     response: Response<Incoming>,
 ) -> Outcome {
     let (parts, mut rest) = response.into_parts();
@@ -121,8 +124,12 @@
     if let Some(load) = metadata.load {
         gateway.state().balancer.record_load(clock::now(), target, load);
     }
-    let is_mismatched =
-        metadata.id.as_ref().map_or(metadata.has_signature, |id| *id != job.metadata.id);
+    // On a connection that was used before, a reply without an id may be a late copy of an earlier
+    // one.
+    let is_mismatched = metadata
+        .id
+        .as_ref()
+        .map_or(metadata.has_signature || is_reused, |id| *id != job.metadata.id);
     if is_mismatched {
         return Outcome::Lost("the reply is for another request".to_owned());
     }
@@ -156,7 +163,9 @@
         }
         Body::whole(start)
     } else {
-        Body::Stream { start: Some(start), rest, _connection: connection }
+        let time_left = job.deadline.since(clock::now());
+        let deadline = Timer::after(clock::duration(time_left));
+        Body::Stream { start: Some(start), rest, deadline, _connection: connection }
     };
     Outcome::Reply(Box::new(Reply { status: parts.status, headers, metadata, body }))
 }
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,14 +1,37 @@
 //! Reply bodies sent to callers.
 
+use std::fmt;
+use std::future::Future;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use hyper::body::Incoming;
+use smol::Timer;
 
 use crate::connection::Connection;
 
+/// Why a streamed body ended early.
+#[derive(Debug)]
+pub enum Error {
+    /// The target's reply is invalid or its connection ended.
+    Target(hyper::Error),
+    /// The request's deadline passed.
+    DeadlinePassed,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Target(error) => error.fmt(f),
+            Error::DeadlinePassed => f.write_str("the deadline passed during the reply"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
 /// A reply body. An error while streaming closes the caller's connection, so a truncated body never
 /// looks complete.
 #[derive(Debug)]
@@ -21,6 +44,8 @@
         start: Option<Bytes>,
         /// The rest of the target's body.
         rest: Incoming,
+        /// Ends the body at the request's deadline: a target may send without end.
+        deadline: Timer,
         /// The connection to the target, kept open while `rest` is read.
         _connection: Connection,
     },
@@ -36,18 +61,26 @@
 
 impl HttpBody for Body {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = Error;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         match self.get_mut() {
             Body::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Body::Stream { start, rest, .. } => match start.take() {
-                Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
-                None => Pin::new(rest).poll_frame(context),
-            },
+            Body::Stream { start, rest, deadline, .. } => {
+                if Pin::new(deadline).poll(context).is_ready() {
+                    return Poll::Ready(Some(Err(Error::DeadlinePassed)));
+                }
+                match start.take() {
+                    Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                    None => {
+                        let frame = ready!(Pin::new(rest).poll_frame(context));
+                        Poll::Ready(frame.map(|frame| frame.map_err(Error::Target)))
+                    }
+                }
+            }
         }
     }
 
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -12,9 +12,10 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use smol::{Async, LocalExecutor, Task, Timer};
-use smol_hyper::rt::FuturesIo;
 use socket2::{SockRef, TcpKeepalive};
 
+use crate::stream::{HeadLimit, MAX_READ_BYTES, Stream};
+
 /// How long sent bytes may stay unacknowledged. Without it, a request on a connection whose peer no
 /// longer responds would hang until its own timeout.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -36,6 +37,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     _driver: Task<()>,
 }
 
@@ -54,13 +56,18 @@
         };
         let stream = future::or(Async::<TcpStream>::connect(address), timer).await?;
         set_socket_options(&stream)?;
-        let io = FuturesIo::new(stream);
-        let (sender, driver) = http1::handshake(io).await.map_err(io::Error::other)?;
+        let head_limit = HeadLimit::default();
+        let io = Stream::new(stream, head_limit.clone());
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BYTES)
+            .handshake(io)
+            .await
+            .map_err(io::Error::other)?;
         let driver = executor.spawn(async move {
             // The request in flight receives the error through `sender`.
             let _ = driver.await;
         });
-        Ok(Connection { sender, _driver: driver })
+        Ok(Connection { sender, head_limit, _driver: driver })
     }
 
     /// Whether the connection is open and can take a request now.
@@ -79,7 +86,10 @@
         if let Err(error) = self.sender.ready().await {
             return Err(Error::Unsent(error.to_string()));
         }
-        self.sender.try_send_request(request).await.map_err(|mut error| {
+        self.head_limit.start();
+        let result = self.sender.try_send_request(request).await;
+        self.head_limit.end();
+        result.map_err(|mut error| {
             let is_unsent = error.take_message().is_some();
             let text = error_with_source(error.error());
             if is_unsent { Error::Unsent(text) } else { Error::Lost(text) }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod server;
 pub mod settings;
 mod store;
+mod stream;
 mod sync;
 
 pub use server::Server;
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,102 @@
+//! The stream of an outgoing connection, which limits what its peer can make this process read.
+
+use std::cell::Cell;
+use std::io;
+use std::net::TcpStream;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use smol::Async;
+use smol_hyper::rt::FuturesIo;
+
+/// Reads in a row after which other tasks run. hyper reads informational replies in a loop for as
+/// long as there are any.
+const MAX_READS_IN_A_ROW: u32 = 4;
+/// Reads for the head of one reply, informational ones included, at most. A read takes up to
+/// [`MAX_READ_BYTES`], and a head is seldom longer than one.
+const MAX_HEAD_READS: u32 = 200;
+/// Limit on the bytes read at once, and so on the head of a reply.
+pub const MAX_READ_BYTES: usize = 32 << 10;
+
+/// Whether a reply's head is awaited, and the reads that it has taken.
+#[derive(Debug, Clone, Default)]
+pub struct HeadLimit(Rc<Cell<Option<u32>>>);
+
+impl HeadLimit {
+    /// Starts to count reads, for a request that is sent now.
+    pub fn start(&self) {
+        self.0.set(Some(0));
+    }
+
+    /// Ends the count; the head has arrived.
+    pub fn end(&self) {
+        self.0.set(None);
+    }
+
+    /// Counts a read. Returns whether there were too many.
+    fn is_exceeded(&self) -> bool {
+        self.0.set(self.0.get().map(|reads| reads + 1));
+        self.0.get().is_some_and(|reads| reads > MAX_HEAD_READS)
+    }
+}
+
+/// A TCP stream with limits on reads.
+#[derive(Debug)]
+pub struct Stream {
+    io: FuturesIo<Async<TcpStream>>,
+    reads_in_a_row: u32,
+    head_limit: HeadLimit,
+}
+
+impl Stream {
+    /// Wraps a connected stream.
+    pub fn new(stream: Async<TcpStream>, head_limit: HeadLimit) -> Stream {
+        Stream { io: FuturesIo::new(stream), reads_in_a_row: 0, head_limit }
+    }
+}
+
+impl Read for Stream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let stream = self.get_mut();
+        if stream.reads_in_a_row >= MAX_READS_IN_A_ROW {
+            stream.reads_in_a_row = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let result = Pin::new(&mut stream.io).poll_read(context, buffer);
+        if result.is_pending() {
+            stream.reads_in_a_row = 0;
+            return result;
+        }
+        stream.reads_in_a_row += 1;
+        if stream.head_limit.is_exceeded() {
+            let error = io::Error::new(io::ErrorKind::InvalidData, "the reply's head has no end");
+            return Poll::Ready(Err(error));
+        }
+        result
+    }
+}
+
+impl Write for Stream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().io).poll_write(context, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().io).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().io).poll_shutdown(context)
+    }
+}
--- a/crates/gateway/tests/fake/target.rs
+++ b/crates/gateway/tests/fake/target.rs
@@ -38,6 +38,16 @@
     ExtraReply,
     /// A valid reply to the first request on a connection; closes it on the second.
     ClosesIdle,
+    /// A valid reply, and a second copy of it this long after.
+    LateCopy(Duration),
+    /// A valid reply to the first request on a connection; sends this before the reply to others.
+    Precedes(&'static str),
+    /// The first bytes of a valid reply, as many as this, then closes the connection.
+    Cuts(usize),
+    /// This text, and then the other one without end.
+    Endless(&'static str, &'static str),
+    /// The same, a byte every this long.
+    Trickles(&'static str, &'static str, Duration),
 }
 
 /// The fake target, which records the requests it receives.
@@ -53,6 +63,15 @@
     pub closed_early: Arc<AtomicUsize>,
 }
 
+/// Writes until the connection is closed.
+fn write_without_end(writer: &mut TcpStream, start: &str, rest: &str) {
+    let block = rest.repeat(16_384 / rest.len().max(1));
+    let mut result = writer.write_all(start.as_bytes());
+    while result.is_ok() {
+        result = writer.write_all(block.as_bytes());
+    }
+}
+
 /// A request that ran at a target.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -174,6 +193,32 @@
                 Behaviour::Closes => (String::new(), true),
                 Behaviour::ClosesIdle if request_count > 1 => (String::new(), true),
                 Behaviour::ClosesIdle => (normal_reply(&id), false),
+                Behaviour::LateCopy(delay) => {
+                    if writer.write_all(normal_reply(&id).as_bytes()).is_err() {
+                        return;
+                    }
+                    thread::sleep(delay);
+                    (normal_reply(&id), false)
+                }
+                Behaviour::Precedes(text) if request_count > 1 => {
+                    (format!("{text}{}", normal_reply(&id)), false)
+                }
+                Behaviour::Precedes(_) => (normal_reply(&id), false),
+                Behaviour::Cuts(length) => (normal_reply(&id)[..length].to_owned(), true),
+                Behaviour::Endless(start, rest) => {
+                    return write_without_end(&mut writer, &start.replace("{id}", &id), rest);
+                }
+                Behaviour::Trickles(start, rest, interval) => {
+                    let start = start.replace("{id}", &id);
+                    let bytes = start.bytes().chain(rest.bytes().cycle());
+                    for byte in bytes {
+                        if writer.write_all(&[byte]).is_err() {
+                            return;
+                        }
+                        thread::sleep(interval);
+                    }
+                    return;
+                }
                 Behaviour::ExtraReply => {
                     (format!("{}{}", normal_reply(&id), normal_reply(&id)), false)
                 }
--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -125,6 +125,67 @@
     }
 }
 
+/// A second copy of a reply may arrive while the connection is idle, or after the next request was
+/// written. The next caller must not get it.
+#[test_case(0; "at once")]
+#[test_case(10; "before the next request")]
+#[test_case(60; "after the next request")]
+fn a_late_copy_of_a_reply_is_discarded(delay_ms: u64) {
+    let target = Target::new("t-1", Behaviour::LateCopy(Duration::from_millis(delay_ms)));
+    let (_store, gateway) = start_gateway(&[&target]);
+    for index in 0..8 {
+        let id = format!("id-{index}");
+        let reply = send_request(gateway.callers, &request("POST", "/once/a", &id, "")).unwrap();
+        let is_own = reply.status() == 200 && reply.body == format!("reply to {id}").into_bytes();
+        assert!(is_own || reply.status() == 502, "{} {:?}", reply.status(), reply.body);
+        std::thread::sleep(Duration::from_millis(30));
+    }
+}
+
+/// On a connection that was used before, a reply without an id may be a late copy of an earlier one.
+/// Taken as the reply to the request, it would say that a request did not run that runs.
+#[test_case("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"; "not run")]
+#[test_case("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"; "misdirected")]
+#[test_case("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"; "an error")]
+#[test_case("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"; "not run, after an informational reply")]
+fn a_reply_without_an_id_on_a_used_connection(text: &'static str) {
+    let target = Target::new("t-1", Behaviour::Precedes(text));
+    let (_store, gateway) = start_gateway(&[&target]);
+    for index in 0..6 {
+        let id = format!("id-{index}");
+        let reply = send_request(gateway.callers, &request("POST", "/once/a", &id, "x")).unwrap();
+        assert!(
+            matches!(reply.status(), 200 | 502),
+            "status {} of a request that ran",
+            reply.status()
+        );
+        assert_eq!(target.count(), index + 1, "a non-idempotent request is sent once");
+    }
+}
+
+/// A reply that is cut at any byte is lost: the request ran, so it must neither run again nor be
+/// reported as not run.
+#[test]
+fn a_reply_cut_at_any_byte() {
+    let target = Target::new("t-1", NORMAL);
+    let (_store, gateway) = start_gateway(&[&target]);
+    let send = |id: &str| {
+        send_request(gateway.callers, &request("POST", "/once/a", id, "x")).unwrap().status()
+    };
+    for cut in (0..120).step_by(3) {
+        target.set_behaviour(Behaviour::Cuts(cut));
+        let id = format!("id-{cut:03}");
+        assert_eq!(send(&id), 502, "cut after {cut} bytes");
+        let runs = target.runs.lock().unwrap().iter().filter(|run| run.id == id).count();
+        assert_eq!(runs, 1, "cut after {cut} bytes");
+        // Complete replies restore the trust in the target.
+        target.set_behaviour(NORMAL);
+        for attempt in 0..3 {
+            assert_eq!(send(&format!("{id}-{attempt}")), 200);
+        }
+    }
+}
+
 #[test]
 fn times_out_a_slow_target() {
     let target = Target::new("t-1", Behaviour::Normal(Duration::from_secs(5)));
