Show where a gateway gets the store's objects, and log fewer lines at scale

Cause: on the large site each machine wrote a line for each of 294 others and each of 1,074 targets, and most lines were dropped (32 to 282 of 1,074 "target added" a machine got through). Nothing showed which machine relays.

Change: E207 names the source and the machines between it and the store; metrics give the age of each copy, the hops, and whether look-ups return the machine. Machines that appear or die together share a line, and a list of over 50 targets is one line.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -61,10 +61,8 @@
     async fn handle_message(&self, message: Message, from: SocketAddr) {
         let wants_reply = message.wants_reply;
         let joined = self.gateway.state().membership.handle_message(clock::now(), message);
-        for name in &joined {
-            self.gateway.log.record(Event::PeerConnected, json!({ "peer": name }));
-        }
         if !joined.is_empty() {
+            self.gateway.log.record(Event::PeerConnected, json!({ "peers": joined }));
             self.gateway.update_machines();
         }
         if wants_reply {
@@ -127,8 +125,8 @@
         loop {
             self.send_heartbeat().await;
             let dead = self.gateway.state().membership.expire(clock::now(), EXPIRY_INTERVAL);
-            for name in &dead {
-                self.gateway.log.record(Event::PeerDisconnected, json!({ "peer": name }));
+            if !dead.is_empty() {
+                self.gateway.log.record(Event::PeerDisconnected, json!({ "peers": dead }));
             }
             self.gateway.update_machines();
             if self.gateway.state().membership.live_peers(clock::now()).next().is_none() {
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -1,5 +1,7 @@
 //! Metrics of the gateway.
 
+use std::sync::atomic::AtomicU64;
+
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -47,6 +49,13 @@
     pub result: &'static str,
 }
 
+/// Labels of a kind of objects.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct KindLabels {
+    /// Label of the kind.
+    pub kind: &'static str,
+}
+
 /// Labels of a route.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RouteLabels {
@@ -76,6 +85,12 @@
     pub targets: Gauge,
     /// Live machines, including this one.
     pub machines: Gauge,
+    /// Time for which the copy of the store's objects has not been known to be current, in seconds.
+    pub copy_age: Family<KindLabels, Gauge<f64, AtomicU64>>,
+    /// Machines between this one and the store.
+    pub copy_hops: Family<KindLabels, Gauge>,
+    /// 1 if lookups of this machine's region return it.
+    pub is_entry: Gauge,
     /// Requests in flight.
     pub in_flight: Gauge,
     /// Open incoming connections.
@@ -96,6 +111,9 @@
             version: Gauge::default(),
             targets: Gauge::default(),
             machines: Gauge::default(),
+            copy_age: Family::default(),
+            copy_hops: Family::default(),
+            is_entry: Gauge::default(),
             in_flight: Gauge::default(),
             connections: Gauge::default(),
             registry: Registry::default(),
@@ -122,6 +140,22 @@
             "Live machines, including this one",
             metrics.machines.clone(),
         );
+        registry.register_with_unit(
+            "copy_age",
+            "Time for which the copy of the store's objects has not been known to be current",
+            Unit::Seconds,
+            metrics.copy_age.clone(),
+        );
+        registry.register(
+            "copy_hops",
+            "Machines between this one and the store",
+            metrics.copy_hops.clone(),
+        );
+        registry.register(
+            "entry",
+            "Whether lookups of this region return this machine",
+            metrics.is_entry.clone(),
+        );
         registry.register("requests_in_flight", "Requests in flight", metrics.in_flight.clone());
         registry.register("connections", "Open incoming connections", metrics.connections.clone());
         Metrics { registry, ..metrics }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -1,7 +1,7 @@
 //! Keeps the local copy of the store's objects current, and applies changes to the gateway's state.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 use serde_json::json;
 
 use crate::gateway::Gateway;
-use crate::metric::CallLabels;
+use crate::metric::{CallLabels, KindLabels};
 use crate::mirror::Mirror;
 use crate::replication::{Poller, fault, next_step};
 use crate::store::{Client, Error};
@@ -35,6 +35,8 @@
 const BATCH_DELAY: Span = Span::from_millis(250);
 /// Time between two checks for a machine to poll.
 const POLL_INTERVAL: Span = Span::from_millis(100);
+/// Targets of one update that are logged one by one, at most.
+const MAX_TARGET_LINES: usize = 50;
 /// Delay before a full list is read because the store no longer has the history.
 const RELIST_DELAY: Span = Span::from_millis(20);
 /// Target entries that expired during a store outage are registered again within about 2 s of its
@@ -51,6 +53,15 @@
     selector: Selector,
     /// Time of the last failed store call.
     failed_at: Instant,
+    /// The source of the last update: a machine, or the store.
+    source: Option<Source>,
+}
+
+/// Where an update came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    Store,
+    Peer(IpAddr),
 }
 
 impl Synchronizer {
@@ -66,6 +77,7 @@
             kind,
             selector: Selector::new(clock::now(), delay),
             failed_at: Instant::ZERO,
+            source: None,
         }
     }
 
@@ -97,7 +109,10 @@
             result = self.list().await;
         }
         match result {
-            Ok(()) => self.selector.record_call(),
+            Ok(()) => {
+                self.selector.record_call();
+                self.record_source(Source::Store, 0);
+            }
             Err(error) => {
                 self.record_failure(&error);
                 self.failed_at = clock::now();
@@ -113,6 +128,7 @@
         match result {
             Ok(origin) if self.selector.record_answer(now, address, origin.hops) => {
                 self.gateway.set_current(self.kind, now, origin.age, origin.hops + 1);
+                self.record_source(Source::Peer(address), origin.hops);
             }
             Ok(_) => {
                 self.gateway.set_stale(self.kind);
@@ -126,6 +142,20 @@
         }
     }
 
+    /// Logs a change of the source, which has `hops` machines between it and the store.
+    fn record_source(&mut self, source: Source, hops: u8) {
+        if self.source.replace(source) == Some(source) {
+            return;
+        }
+        let name = match source {
+            Source::Store => "store".to_owned(),
+            Source::Peer(address) => address.to_string(),
+        };
+        let revision = self.gateway.revision(self.kind);
+        let fields = json!({ "kind": self.kind.label(), "source": name, "hops": hops, "revision": revision });
+        self.gateway.log.record(Event::SourceChanged, fields);
+    }
+
     async fn get(&mut self, path: &str, timeout: Duration) -> Result<Bytes, Error> {
         let result = self.client.call(Method::GET, path, Vec::new(), timeout).await;
         let label = match &result {
@@ -283,7 +313,12 @@
             Kind::Config => changed.iter().for_each(|object| self.apply_config(object)),
             Kind::Evacuation => self.apply_evacuations(),
             Kind::Target => {
-                changed.iter().for_each(|object| self.apply_target(object));
+                // A line for each of many targets would fill the log of each machine of the fleet.
+                let is_logged = changed.len() <= MAX_TARGET_LINES;
+                changed.iter().for_each(|object| self.apply_target(object, is_logged));
+                if !is_logged {
+                    self.log.record(Event::TargetAdded, json!({ "targets": changed.len() }));
+                }
                 removed.iter().for_each(|object| self.mark_unlisted(&object.metadata.name));
             }
             Kind::Machine => {}
@@ -331,7 +366,7 @@
         self.log.record(Event::EvacuationsChanged, fields);
     }
 
-    fn apply_target(&self, object: &Object) {
+    fn apply_target(&self, object: &Object, is_logged: bool) {
         let now = clock::now();
         let name = &object.metadata.name;
         self.state().unlisted.remove(name);
@@ -356,7 +391,8 @@
         let id = state.balancer.upsert_target(now, spec);
         drop(state);
         match previous {
-            None => self.log.record(Event::TargetAdded, fields),
+            None if is_logged => self.log.record(Event::TargetAdded, fields),
+            None => {}
             Some(previous) if is_leaving && !previous.is_leaving => {
                 self.log.record(Event::TargetLeaving, fields);
             }
@@ -422,7 +458,17 @@
         self.metrics.version.set(state.version as i64);
         self.metrics.targets.set(state.balancer.target_names().count() as i64);
         self.metrics.machines.set(state.membership.live_peers(now).count() as i64 + 1);
+        for (kind, mirror) in &state.mirrors {
+            let labels = KindLabels { kind: kind.label() };
+            let age = mirror.age(now).as_micros() as f64 / 1e6;
+            self.metrics.copy_age.get_or_create(&labels).set(age);
+            self.metrics.copy_hops.get_or_create(&labels).set(i64::from(mirror.hops()));
+        }
         self.metrics.in_flight.set(self.in_flight.get() as i64);
         self.metrics.connections.set(self.connections.get() as i64);
+        drop(state);
+        let own = SocketAddr::new(self.settings.address, self.settings.listen.callers.port());
+        let is_entry = self.lookup_addresses(&self.settings.region).contains(&own);
+        self.metrics.is_entry.set(i64::from(is_entry));
     }
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -71,6 +71,8 @@
     HistoryExpired = 205 Warn "change history expired",
     /// The set of data centres that must not get new work changed.
     EvacuationsChanged = 206 Info "evacuations changed",
+    /// This machine gets the store's objects from another source than before.
+    SourceChanged = 207 Info "source of objects changed",
 
     /// Certificate and key were reloaded.
     CertificateLoaded = 300 Info "certificate loaded",
