Watch from the oldest page of a list, and start a fleet faster

Cause: a list of 1,074 targets has 22 pages, and the watch continued from the revision of the last one. A target of an earlier page that started to leave meanwhile was never reported: 15 of 30 requests reached such targets in a_change_while_a_list_is_read.

Change: the watch starts at the oldest page's revision. A machine is ready once it has a configuration and the list of targets. Machines without a copy wait for their answer; new processes call the store after 0.4 s instead of 0.7 s and ask the seeds again after 0.15 s.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -27,7 +27,7 @@
 pub const CALL_DELAY_PER_POSITION: Span = Span::from_millis(250);
 /// Time for which a new process asks other machines for a copy before it calls the store. Machines
 /// that start together find each other meanwhile.
-pub const START_DELAY: Span = Span::from_millis(700);
+pub const START_DELAY: Span = Span::from_millis(400);
 /// The same at the first start of the whole fleet, when no machine has a copy.
 pub const FIRST_START_DELAY: Span = Span::from_millis(2_000);
 /// Machines of a data centre or a region that are asked before the search goes on elsewhere.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -188,9 +188,10 @@
         self.state.borrow_mut()
     }
 
-    /// Whether a configuration is active and no shutdown has begun.
+    /// Whether a configuration is active, the targets are known and no shutdown has begun.
     pub fn is_ready(&self) -> bool {
-        self.phase.get() == Phase::Serving && self.state().version > 0
+        let has_policy = self.state().version > 0;
+        self.phase.get() == Phase::Serving && has_policy && self.revision(Kind::Target) > 0
     }
 
     /// Waits until `deadline` or, during a shutdown, the earlier time of the final replies.
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -118,9 +118,9 @@
             Some(client) if client.address() == peer => client,
             _ => Client::new(gateway.executor.clone(), peer),
         };
-        let mut path =
-            format!("{PATH_PREFIX}{}/{}", self.kind.label(), gateway.revision(self.kind));
-        if gateway.is_stale(self.kind) {
+        let revision = gateway.revision(self.kind);
+        let mut path = format!("{PATH_PREFIX}{}/{revision}", self.kind.label());
+        if revision > 0 && gateway.is_stale(self.kind) {
             path = format!("{path}?{NO_WAIT_QUERY}");
         }
         let reply = client.call(Method::GET, &path, Vec::new(), POLL_TIMEOUT).await?;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,6 @@
 //! Starts and gracefully stops the gateway.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,6 +27,8 @@
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(200);
 /// Timeout of a call to the store's list of machines.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which the seeds are asked for heartbeats a second time.
+const SEED_REPEAT_DELAY: Span = Span::from_millis(150);
 /// Bounds of the interval at which a machine without live peers reads the store's list of machines.
 const MIN_DISCOVERY_INTERVAL: Span = Span::from_millis(700);
 const MAX_DISCOVERY_INTERVAL: Span = Span::from_secs(5);
@@ -140,7 +142,10 @@
 /// groups find each other.
 async fn join_fleet(gateway: &Rc<Gateway>, gossip: &Gossip) {
     let client = Client::new(gateway.executor.clone(), gateway.settings.store.address);
-    let seeds = gateway.settings.seeds.iter().map(SocketAddr::ip).collect();
+    let seeds: Vec<IpAddr> = gateway.settings.seeds.iter().map(SocketAddr::ip).collect();
+    gossip.request_heartbeats(seeds.clone()).await;
+    // Seeds that have just started themselves know more by then.
+    clock::sleep(SEED_REPEAT_DELAY).await;
     gossip.request_heartbeats(seeds).await;
     let mut is_registered = false;
     let mut interval = MIN_DISCOVERY_INTERVAL;
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ebonypass_core::relay::{self, Selector, Step};
+use ebonypass_core::relay::{self, Fault, Selector, Step};
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_node::clock;
 use ebonypass_node::event::Event;
@@ -134,9 +134,12 @@
                 self.gateway.set_stale(self.kind);
             }
             Err(error) => {
-                let fields = json!({ "kind": self.kind.label(), "peer": address.to_string(), "error": error.to_string() });
-                self.gateway.log.record(Event::PeerUnresponsive, fields);
-                self.selector.record_fault(now, address, fault(&error));
+                let fault = fault(&error);
+                if fault != Fault::Empty {
+                    let fields = json!({ "kind": self.kind.label(), "peer": address.to_string(), "error": error.to_string() });
+                    self.gateway.log.record(Event::PeerUnresponsive, fields);
+                }
+                self.selector.record_fault(now, address, fault);
                 self.gateway.set_stale(self.kind);
             }
         }
@@ -174,7 +177,10 @@
         let start = clock::now();
         let mut objects = BTreeMap::new();
         let mut after = None;
-        let revision = loop {
+        // Objects of the first page may change while the others are read. The watch continues from
+        // the oldest page, so that it reports these changes.
+        let mut revision = u64::MAX;
+        loop {
             let path = object::list_path(self.kind, after.as_deref());
             let bytes = self.get(&path, LIST_TIMEOUT).await?;
             let page = object::scan_page(&bytes)
@@ -182,11 +188,12 @@
             objects.extend(
                 page.objects.into_iter().map(|object| (object.metadata.name.clone(), object)),
             );
+            revision = revision.min(page.revision);
             match page.after {
                 Some(name) => after = Some(name),
-                None => break page.revision,
+                None => break,
             }
-        };
+        }
         self.gateway.replace_objects(self.kind, objects, revision);
         self.record_success(clock::now().since(start));
         Ok(())
--- a/crates/gateway/tests/fake/store.rs
+++ b/crates/gateway/tests/fake/store.rs
@@ -37,6 +37,8 @@
     compacted_revision: u64,
     revision: u64,
     mode: Mode,
+    /// Delay of each page of a list but the first.
+    page_delay: Duration,
     /// Request lines of all calls.
     calls: Vec<String>,
 }
@@ -64,6 +66,7 @@
             compacted_revision: 0,
             revision: 1,
             mode: Mode::Normal,
+            page_delay: Duration::ZERO,
             calls: Vec::new(),
         };
         let store =
@@ -88,6 +91,10 @@
         self.state.1.notify_all();
     }
 
+    pub fn set_page_delay(&self, delay: Duration) {
+        self.state.0.lock().unwrap().page_delay = delay;
+    }
+
     pub fn put(&self, kind: &str, name: &str, mut object: Value) {
         let mut state = self.state.0.lock().unwrap();
         state.revision += 1;
@@ -190,6 +197,10 @@
     }
 
     fn list(&self, kind: &str, after: Option<String>) -> Vec<u8> {
+        if after.is_some() {
+            let delay = self.state.0.lock().unwrap().page_delay;
+            thread::sleep(delay);
+        }
         let state = self.state.0.lock().unwrap();
         let after = after.unwrap_or_default();
         let objects = state.objects.iter().filter(|((k, name), _)| k == kind && *name > after);
--- a/crates/gateway/tests/store.rs
+++ b/crates/gateway/tests/store.rs
@@ -114,6 +114,35 @@
     });
 }
 
+/// A list of many pages takes a while. A target that starts to leave after its page was read must
+/// still get no requests.
+#[test]
+fn a_change_while_a_list_is_read() {
+    let store = Store::with_page_size(3);
+    store.put("config", "main", config(2, &ROUTES));
+    let targets: Vec<Target> =
+        (0..6).map(|index| Target::new(&format!("t-{index}"), NORMAL)).collect();
+    for target in &targets {
+        store.put("servers", &target.id, target.entry("s", "ready"));
+    }
+    store.set_page_delay(Duration::from_millis(500));
+    let gateway = Gateway::start(&store);
+    wait_until("the second page is asked for", || store.reads("servers", false) >= 2);
+    for target in &targets[..3] {
+        store.put("servers", &target.id, target.entry("s", "draining"));
+    }
+    gateway.wait_ready();
+    std::thread::sleep(Duration::from_millis(500));
+    for index in 0..30 {
+        let text =
+            String::from_utf8(request("GET", "/safe/a", &format!("id-{index}"), "")).unwrap();
+        let text = text.replace("Key=7", &format!("Key={index}"));
+        assert_eq!(send_request(gateway.callers, text.as_bytes()).unwrap().status(), 200);
+    }
+    let late: usize = targets[..3].iter().map(Target::count).sum();
+    assert_eq!(late, 0, "{late} requests reached targets that were leaving");
+}
+
 #[test]
 fn relists_when_the_history_is_compacted() {
     let target = Target::new("t-1", NORMAL);
