--- a/crates/gateway/tests/malformed.rs
+++ b/crates/gateway/tests/malformed.rs
@@ -9,9 +9,7 @@
 
 use ebonypass_core::gossip::{Heartbeat, Kind, Membership, Peer};
 use ebonypass_core::time::Instant;
-use fake::{
-    Behaviour, Gateway, ROUTES, Store, Target, config, request, send_request, start_gateway,
-};
+use fake::{Behaviour, Gateway, ROUTES, Target, config, request, send_request, start_gateway};
 
 /// Messages sent to each socket.
 const MESSAGE_COUNT: usize = 300;
