--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -224,8 +224,8 @@
         self.backoff = MIN_BACKOFF;
     }
 
-    /// Records a store call that failed, and delays the next one. `jitter` is between 0 and 1; `machines` is the number of
-    /// live machines of the region.
+    /// Records a store call that failed, and delays the next one. `jitter` is between 0 and 1;
+    /// `machines` is the number of live machines of the region.
     pub fn record_failed_call(&mut self, now: Instant, machines: usize, jitter: f64) {
         self.starved_since.get_or_insert(now);
         self.is_calling = false;
