Count a machine's contact with the store from its first answer after a pause

Cause, found in reading the change: a machine that polls others keeps the time since which its store calls succeeded. When it calls the store again after an outage, it would count the outage as contact, and all machines would drop at once the targets whose entries had expired, which are back within two seconds.

Change: contact starts anew if the last answer is over 2 s old. The state moves to core::relay, where it is tested.

Checked: contact_starts_anew_after_a_pause fails without the rule (10.1 s instead of 0.1 s) and passes with it.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -43,6 +43,50 @@
 const MIN_BACKOFF: Span = Span::from_millis(100);
 const MAX_BACKOFF: Span = Span::from_millis(400);
 
+/// Time after the last answer from which a machine does not count as one that calls the store. A
+/// watch is answered within 1.5 s.
+pub const CONTACT_EXPIRY: Span = Span::from_secs(2);
+
+/// The store's answers to one machine.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Contact {
+    /// Since when the machine has called the store and every call has succeeded.
+    since: Option<Instant>,
+    answered_at: Instant,
+}
+
+impl Contact {
+    /// Records a call that succeeded.
+    pub fn record_answer(&mut self, now: Instant) {
+        // Nothing is known of the time in which the machine did not call the store.
+        if !self.is_calling(now) {
+            self.since = None;
+        }
+        self.since.get_or_insert(now);
+        self.answered_at = now;
+    }
+
+    /// Records a call that failed.
+    pub fn record_failure(&mut self) {
+        self.since = None;
+    }
+
+    /// The last success.
+    pub fn answered_at(&self) -> Instant {
+        self.answered_at
+    }
+
+    /// For how long every call has succeeded; zero for a machine that does not call the store.
+    pub fn uptime(&self, now: Instant) -> Span {
+        let since = self.since.filter(|_| self.is_calling(now));
+        since.map_or(Span::ZERO, |since| now.since(since))
+    }
+
+    fn is_calling(&self, now: Instant) -> bool {
+        now.since(self.answered_at) < CONTACT_EXPIRY
+    }
+}
+
 /// Why a poll of a machine failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -6,7 +6,9 @@
 use std::net::{IpAddr, Ipv4Addr};
 
 use ebonypass_core::gossip::{Heartbeat, Peer};
-use ebonypass_core::relay::{FIRST_START_DELAY, Fault, START_DELAY, Selector, Step, View, order};
+use ebonypass_core::relay::{
+    Contact, FIRST_START_DELAY, Fault, START_DELAY, Selector, Step, View, order,
+};
 use ebonypass_core::time::{Instant, Span};
 use test_case::test_case;
 
@@ -282,6 +284,23 @@
     }
 }
 
+/// Entries that expired in an outage are kept until some machine has heard the store for a while. A
+/// machine that did not call the store during the outage must not count the time before it.
+#[test]
+fn contact_starts_anew_after_a_pause() {
+    let mut contact = Contact::default();
+    let at = |ms| Instant::ZERO + Span::from_millis(ms);
+    for ms in [10_000, 11_000, 12_000] {
+        contact.record_answer(at(ms));
+    }
+    assert_eq!(contact.uptime(at(12_500)), Span::from_millis(2_500));
+    assert_eq!(contact.uptime(at(15_000)), Span::ZERO, "it no longer calls the store");
+    contact.record_answer(at(20_000));
+    assert_eq!(contact.uptime(at(20_100)), Span::from_millis(100));
+    contact.record_failure();
+    assert_eq!(contact.uptime(at(20_200)), Span::ZERO);
+}
+
 /// In a calm fleet one machine of each region calls the store, however large the fleet is. Before,
 /// each machine whose poll failed called it, and a quiet day of 295 machines cost 7,510 calls.
 #[test_case(12)]
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use ebonypass_core::directory;
 use ebonypass_core::gossip::{Heartbeat, Membership, Peer};
 use ebonypass_core::id::ServiceId;
+use ebonypass_core::relay::Contact;
 use ebonypass_core::route;
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_core::window::RetryBudget;
@@ -29,9 +30,6 @@
 /// Fraction of the fleet's retry allowance that is used. The rest covers machines that restarted
 /// and lost count of the retries they sent.
 const RETRY_ALLOWANCE_FRACTION: f64 = 0.6;
-/// Time after the last answer from which a machine does not count as one that calls the store. A
-/// watch is answered within 1.5 s.
-const CONTACT_EXPIRY: Span = Span::from_secs(2);
 /// Fraction of the fleet's retry ratio that each machine applies to its own requests; below 1 for
 /// the same reason.
 const RETRY_RATIO_FRACTION: f64 = 0.75;
@@ -71,34 +69,6 @@
     retry_budgets: HashMap<ServiceId, RetryBudget>,
 }
 
-/// When the store answered this machine.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct StoreContact {
-    /// Since when every call has succeeded; none before the first and after a failed one.
-    since: Option<Instant>,
-    /// The last success.
-    pub answered_at: Instant,
-}
-
-impl StoreContact {
-    /// Records a call that succeeded.
-    pub fn record_answer(&mut self, now: Instant) {
-        self.since.get_or_insert(now);
-        self.answered_at = now;
-    }
-
-    /// Records a call that failed.
-    pub fn record_failure(&mut self) {
-        self.since = None;
-    }
-
-    /// How long every call has succeeded; zero for a machine that no longer calls the store.
-    fn uptime(&self, now: Instant) -> Span {
-        let is_calling = now.since(self.answered_at) < CONTACT_EXPIRY;
-        self.since.filter(|_| is_calling).map_or(Span::ZERO, |since| now.since(since))
-    }
-}
-
 /// One gateway process.
 #[derive(Debug)]
 pub struct Gateway {
@@ -119,7 +89,7 @@
     /// Open incoming connections.
     pub connections: Cell<usize>,
     /// The store's answers to this machine.
-    pub store_contact: Cell<StoreContact>,
+    pub store_contact: Cell<Contact>,
     /// The current shutdown phase.
     pub phase: Cell<Phase>,
     /// When requests in flight get their final replies; never before a shutdown.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -84,7 +84,7 @@
     /// Polls other machines or calls the store, as the selector says.
     pub async fn run(mut self) {
         loop {
-            if self.gateway.store_contact.get().answered_at > self.failed_at {
+            if self.gateway.store_contact.get().answered_at() > self.failed_at {
                 self.failed_at = Instant::MAX;
                 self.selector.end_pause(clock::now());
             }
