Keep the last change of each object only

Cause: the copy of the store's objects kept the last 400 changes with the whole object each. 400 versions of a configuration with 1,400 routes are about 400 MB.

Change: each object carries the revision of its last change, and of deleted objects only the metadata is kept. A machine that polls applies only the last change of an object, so it gets the same as before.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,7 @@
 mod listener;
 mod log;
 mod metric;
-mod mirror;
+pub mod mirror;
 mod pool;
 mod replication;
 mod request;
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -1,5 +1,5 @@
-//! A local copy of the store's objects of one kind, with the recent changes for machines that poll
-//! this one.
+//! A local copy of the store's objects of one kind, which says what has changed since a revision to
+//! machines that poll this one.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
@@ -8,8 +8,8 @@
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_platform::object::{self, Object};
 
-/// Changes kept for machines that poll this one.
-const MAX_CHANGES: usize = 400;
+/// Deletions kept for machines that poll this one.
+const MAX_DELETIONS: usize = 400;
 /// Encoded replies kept for the current revision. Machines that poll mostly know the same one.
 const MAX_ENCODED: usize = 4;
 /// Time without a source after which the copy is no longer given to other machines. A relay has
@@ -19,11 +19,20 @@
 /// along the way from the store: 1.5 s at a machine that watches it and 0.9 s for each relay.
 const MAX_AGE: Span = Span::from_secs(5);
 
+/// An object of the copy.
 #[derive(Debug)]
-struct Change {
-    revision: u64,
+struct Entry {
     object: Rc<Object>,
-    is_deleted: bool,
+    /// Revision of the copy since which the object is as it is.
+    revision: u64,
+}
+
+/// A deleted object, of which only the metadata is kept.
+#[derive(Debug)]
+struct Deletion {
+    object: Object,
+    /// Revision of the copy since which the object is gone.
+    revision: u64,
 }
 
 /// Objects that differ after a new list.
@@ -38,7 +47,7 @@
 /// A copy of the objects of one kind.
 #[derive(Debug, Default)]
 pub struct Mirror {
-    objects: BTreeMap<String, Rc<Object>>,
+    entries: BTreeMap<String, Entry>,
     revision: u64,
     /// When the copy was last known to be current.
     current_at: Option<Instant>,
@@ -46,8 +55,11 @@
     hops: u8,
     /// When the source was lost; none while there is one.
     stale_since: Option<Instant>,
-    changes: VecDeque<Change>,
-    /// `changes` holds every change after this revision.
+    /// Revision of the last change.
+    changed_revision: u64,
+    /// The last deletions, oldest first.
+    deletions: VecDeque<Deletion>,
+    /// `deletions` holds every deletion after this revision.
     compacted_revision: u64,
     /// Replies for the current revision, by the revision that the receiver knows.
     encoded: Vec<(u64, Bytes)>,
@@ -61,7 +73,7 @@
 
     /// The objects in the order of their names.
     pub fn objects(&self) -> impl Iterator<Item = &Object> {
-        self.objects.values().map(Rc::as_ref)
+        self.entries.values().map(|entry| &*entry.object)
     }
 
     /// The number of machines between this one and the store.
@@ -102,8 +114,7 @@
 
     /// Whether there are changes after `known_revision`.
     pub fn has_changes_since(&self, known_revision: u64) -> bool {
-        known_revision < self.compacted_revision
-            || self.changes.back().is_some_and(|change| change.revision > known_revision)
+        known_revision < self.compacted_revision || known_revision < self.changed_revision
     }
 
     /// Applies changes, each an object and whether it was deleted, that lead to `revision`.
@@ -119,27 +130,32 @@
         self.encoded.clear();
     }
 
+    /// Records a change. Only the last change of an object is kept, so that the memory of the copy
+    /// depends on the number of objects and not on how often they change.
     fn record(&mut self, revision: u64, object: Rc<Object>, is_deleted: bool) {
-        if self.changes.len() >= MAX_CHANGES
-            && let Some(change) = self.changes.pop_front()
-        {
-            self.compacted_revision = self.compacted_revision.max(change.revision);
+        self.changed_revision = revision;
+        let name = &object.metadata.name;
+        self.deletions.retain(|deletion| deletion.object.metadata.name != *name);
+        if !is_deleted {
+            self.entries.insert(name.clone(), Entry { object, revision });
+            return;
         }
-        let name = object.metadata.name.clone();
-        self.changes.push_back(Change { revision, object: object.clone(), is_deleted });
-        if is_deleted {
-            self.objects.remove(&name);
-        } else {
-            self.objects.insert(name, object);
+        self.entries.remove(name);
+        if self.deletions.len() >= MAX_DELETIONS
+            && let Some(deletion) = self.deletions.pop_front()
+        {
+            self.compacted_revision = self.compacted_revision.max(deletion.revision);
         }
+        let object = Object { metadata: object.metadata.clone(), ..Object::default() };
+        self.deletions.push_back(Deletion { object, revision });
     }
 
     /// Replaces all objects by those of a list, and records the difference as changes.
     pub fn replace(&mut self, revision: u64, objects: BTreeMap<String, Object>) -> Difference {
-        let gone = self.objects.iter().filter(|(name, _)| !objects.contains_key(*name));
-        let removed: Vec<Rc<Object>> = gone.map(|(_, object)| object.clone()).collect();
+        let gone = self.entries.iter().filter(|(name, _)| !objects.contains_key(*name));
+        let removed: Vec<Rc<Object>> = gone.map(|(_, entry)| entry.object.clone()).collect();
         let differs = |object: &Object| {
-            self.objects.get(&object.metadata.name).is_none_or(|known| **known != *object)
+            self.entries.get(&object.metadata.name).is_none_or(|known| *known.object != *object)
         };
         let changed: Vec<Rc<Object>> = objects.into_values().filter(differs).map(Rc::new).collect();
         let is_first = self.revision == 0;
@@ -150,8 +166,7 @@
             self.record(revision, object.clone(), false);
         }
         if is_first {
-            // The history before the first list is unknown.
-            self.changes.clear();
+            // What was deleted before the first list is unknown.
             self.compacted_revision = revision;
         }
         self.set_revision(revision);
@@ -177,8 +192,10 @@
         if known_revision < self.compacted_revision || known_revision == 0 {
             return object::encode_list(self.objects(), self.revision);
         }
-        let changes = self.changes.iter().filter(|change| change.revision > known_revision);
-        let changes = changes.map(|change| (&*change.object, change.is_deleted));
-        object::encode_changes(changes, self.revision)
+        let deletions = self.deletions.iter().filter(|entry| entry.revision > known_revision);
+        let changed = self.entries.values().filter(|entry| entry.revision > known_revision);
+        let events = deletions.map(|deletion| (&deletion.object, true));
+        let events = events.chain(changed.map(|entry| (&*entry.object, false)));
+        object::encode_changes(events, self.revision)
     }
 }
