Decode each entry of the store by itself

Cause: a list or watch reply was decoded as one JSON document, so one text that serde_json refuses made the whole reply undecodable.

Change: replies are split into entries without decoding them. Of an entry that cannot be read only its name is kept: it names no target, also in place of a target that stood under that name.

--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -185,6 +185,7 @@
             let bytes = self.get(&path, LIST_TIMEOUT).await?;
             let page = object::scan_page(&bytes)
                 .ok_or_else(|| Error::NoReply("cannot decode the list".to_owned()))?;
+            self.gateway.record_unnamed(self.kind, page.unnamed);
             objects.extend(
                 page.objects.into_iter().map(|object| (object.metadata.name.clone(), object)),
             );
@@ -209,6 +210,7 @@
         let bytes = self.get(&path, timeout).await?;
         let changes = object::scan_changes(&bytes)
             .ok_or_else(|| Error::NoReply("cannot decode the changes".to_owned()))?;
+        self.gateway.record_unnamed(self.kind, changes.unnamed);
         let has_changes = !changes.events.is_empty();
         self.gateway.apply_changes(self.kind, changes.events, changes.revision);
         self.record_success(Span::ZERO);
@@ -268,6 +270,14 @@
         had_source
     }
 
+    /// Logs objects of the store that are left out because not even their name can be read.
+    fn record_unnamed(&self, kind: Kind, count: usize) {
+        if count > 0 {
+            let fields = json!({ "kind": kind.label(), "unnamed": count });
+            self.log.record(Event::ObjectMalformed, fields);
+        }
+    }
+
     /// The number of live machines of this region, this one included.
     fn live_machines_in_region(&self) -> usize {
         let state = self.state();
--- a/crates/gateway/tests/fake/store.rs
+++ b/crates/gateway/tests/fake/store.rs
@@ -39,10 +39,22 @@
     mode: Mode,
     /// Delay of each page of a list but the first.
     page_delay: Duration,
+    /// Texts that stand for `"@text-INDEX"` in what the store sends.
+    texts: Vec<String>,
     /// Request lines of all calls.
     calls: Vec<String>,
 }
 
+impl State {
+    fn response(&self, body: &Value) -> Vec<u8> {
+        let mut body = body.to_string();
+        for (index, text) in self.texts.iter().enumerate() {
+            body = body.replace(&format!("\"@text-{index}\""), text);
+        }
+        response("200 OK", body.as_bytes())
+    }
+}
+
 /// The fake store, listening on a local port.
 #[derive(Clone)]
 pub struct Store {
@@ -67,6 +79,7 @@
             revision: 1,
             mode: Mode::Normal,
             page_delay: Duration::ZERO,
+            texts: Vec::new(),
             calls: Vec::new(),
         };
         let store =
@@ -105,6 +118,15 @@
         self.state.1.notify_all();
     }
 
+    /// Puts a target's entry whose version is written as `text`, which need not be valid JSON.
+    pub fn put_odd_entry(&self, name: &str, mut entry: Value, text: &str) {
+        let mut state = self.state.0.lock().unwrap();
+        entry["spec"]["info"]["version"] = json!(format!("@text-{}", state.texts.len()));
+        state.texts.push(text.to_owned());
+        drop(state);
+        self.put("servers", name, entry);
+    }
+
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.state.0.lock().unwrap();
         state.revision += 1;
@@ -208,7 +230,7 @@
         let more = items.len() > self.page_size;
         let items = &items[..items.len().min(self.page_size)];
         let page = json!({ "items": items, "hasMore": more, "currentRev": state.revision });
-        response("200 OK", page.to_string().as_bytes())
+        state.response(&page)
     }
 
     fn watch(&self, kind: &str, from: u64, wait: Duration) -> Option<Vec<u8>> {
@@ -228,7 +250,7 @@
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let body = json!({ "events": events, "currentRev": state.revision });
-                return Some(response("200 OK", body.to_string().as_bytes()));
+                return Some(state.response(&body));
             }
             state = self.state.1.wait_timeout(state, left).unwrap().0;
         }
--- a/crates/gateway/tests/store.rs
+++ b/crates/gateway/tests/store.rs
@@ -98,6 +98,37 @@
     assert_eq!(status(&gateway, "/safe/a"), 200);
 }
 
+/// An entry that cannot be read hid all later changes of targets, so that leaving ones got requests.
+#[test_case("\"v1\\ud83d\""; "half a surrogate pair")]
+#[test_case("1e400"; "a number too large")]
+#[test_case(&("[".repeat(300) + &"]".repeat(300)); "deep nesting")]
+fn odd_entries_hide_no_changes(text: &str) {
+    let (leaving, other) = (Target::new("t-1", NORMAL), Target::new("t-2", NORMAL));
+    let odd = Target::new("t-3", NORMAL);
+    let (store, mut gateway) = start_gateway(&[&leaving, &other, &odd]);
+    store.put_odd_entry("t-0", other.entry("s", "ready"), text);
+    store.put_odd_entry("t-3", odd.entry("s", "ready"), text);
+    store.put("servers", "t-1", leaving.entry("s", "draining"));
+    std::thread::sleep(Duration::from_millis(700));
+    let before = (leaving.count(), odd.count());
+    for _ in 0..20 {
+        assert_eq!(status(&gateway, "/safe/a"), 200);
+    }
+    assert_eq!((leaving.count(), odd.count()), before, "entries that name no usable target");
+    assert!(!gateway.has_ended());
+    let mut started = Gateway::start_as(&store, "vm-2");
+    started.wait_ready();
+    assert_eq!(status(&started, "/safe/a"), 200);
+    assert!(!started.has_ended());
+    // Its next check-in puts the entry right.
+    store.put("servers", "t-3", odd.entry("s", "ready"));
+    store.put("servers", "t-2", other.entry("s", "draining"));
+    wait_until("the target is used again", || {
+        assert_ne!(status(&gateway, "/safe/a"), 404);
+        odd.count() > before.1
+    });
+}
+
 #[test]
 fn reads_all_pages_of_a_list() {
     let store = Store::with_page_size(3);
