Refuse a request whose body ends late in a planned stop

Cause: the phase of the stop was checked before the body was read only.

Change: it is checked again when the body is complete; the request is refused as not run.

Measured: a_late_body_during_a_stop got 504 with the request at the target before the change, and 503 without it afterwards. Requests with prompt bodies were refused before already.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -281,6 +281,9 @@
         })
     };
     let body = future::or(body, timer).await?;
+    if gateway.phase.get() >= Phase::Refusing {
+        return Err(Reason::Stopping);
+    }
     let headers = header::end_to_end_headers(&parts.headers);
     let (method, uri) = (parts.method, parts.uri);
     Ok(Job { metadata, method, uri, headers, body, route, arrived, deadline })
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -94,6 +94,26 @@
     assert_eq!(target.count(), 1);
 }
 
+/// A request whose body ends late in the grace period must not be passed on: it would be cut at the
+/// end of the period while a target runs it.
+#[test]
+fn a_late_body_during_a_stop() {
+    let target = Target::new("t-1", Behaviour::Normal(Duration::from_secs(5)));
+    let (_store, gateway) = start_gateway(&[&target]);
+    let bytes = request("POST", "/once/a", "id-1", "a body of 20 bytes..");
+    let bytes = String::from_utf8(bytes).unwrap().replace("-Ms: 3000", "-Ms: 20000");
+    let (start, rest) = bytes.split_at(bytes.len() - 5);
+    let mut caller = TcpStream::connect(gateway.callers).unwrap();
+    gateway.signal("-TERM");
+    std::thread::sleep(Duration::from_millis(1_500));
+    caller.write_all(start.as_bytes()).unwrap();
+    // New requests are refused from 2.5 s after the signal, and the route's timeout is 2 s.
+    std::thread::sleep(Duration::from_millis(1_300));
+    caller.write_all(rest.as_bytes()).unwrap();
+    let reply = Message::read(&mut BufReader::new(caller)).expect("a reply");
+    assert_eq!((reply.status(), target.count()), (503, 0));
+}
+
 #[test]
 fn a_stopping_machine_still_serves_new_requests() {
     let target = Target::new("t-1", NORMAL);
