Keep what is known of a target's availability in one place

Cause: the last entry of a target won, whatever its lifetime and sequence; entries without sequence were valid; a change of service or region was not applied to all indexes.

Change: core::availability orders entries by lifetime and sequence. Leaving is final within a lifetime. Entries without sequence or version, or with a start that is no number, name no target. A target keeps its id when its service or region changes, and moves in every index.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -13,6 +13,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::availability::{self, Availability, Lifetime, State, Update};
 use crate::capacity;
 use crate::id::{Arena, ServiceId, TargetId};
 pub use crate::target::{Load, Outcome, Target, TargetSpec};
@@ -57,6 +58,10 @@
 /// The part of the fleet-wide limit on a cold target that is used.
 const COLD_LIMIT_SHARE: f64 = 0.7;
 
+/// Machines that a target has turned away at one moment come back within this part of the time that
+/// it asked for, each at a time of its own.
+const RETURN_SPREAD: f64 = 0.25;
+
 /// A set of regions that may run a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RegionSet(u64);
@@ -107,6 +112,8 @@
     pub route: u64,
     /// Whether the target is expected to have the object cached.
     pub is_cached: bool,
+    /// The target's lifetime, to which its reply belongs.
+    pub lifetime: Lifetime,
 }
 
 /// Why no target was chosen.
@@ -116,6 +123,8 @@
     NoTarget,
     /// The earliest expected reply would miss the deadline.
     Full(Backlog),
+    /// Every target that may be used has turned this machine away, the first one for this long.
+    TurnedAway(Span),
 }
 
 /// The load behind [`Refusal::Full`].
@@ -290,40 +299,50 @@
         self.evacuated_centres = evacuated_centres;
     }
 
-    /// Adds a target or updates its registry entry. Returns its id.
-    pub fn upsert_target(&mut self, now: Instant, spec: TargetSpec) -> TargetId {
+    /// Adds a target or updates its registry entry. Returns its id and what the entry changed.
+    pub fn upsert_target(&mut self, now: Instant, spec: TargetSpec) -> (TargetId, Update) {
         let service = self.service_id(&spec.service);
-        let known = self.targets_by_name.get(&spec.id).copied();
-        let cold_until = now + spec.cold_time_left;
-        if let Some(id) = known
-            && self.targets[id].service == service
-        {
-            let target = &mut self.targets[id];
-            let is_new = target.spec.start_unix_ms != spec.start_unix_ms
-                || target.spec.address != spec.address;
-            if is_new {
-                // The target has restarted: its earlier measurements no longer apply.
-                target.measured_slowdown = 1.0;
-                target.failure_score = 0.0;
-                target.other_requests = 0.0;
-                target.is_gone = false;
-            }
-            target.cold_until = cold_until;
-            target.is_listed = true;
-            target.spec = spec;
-            return id;
+        let Some(&id) = self.targets_by_name.get(&spec.id) else {
+            return (self.insert_target(now, service, spec), Update::Restarted);
+        };
+        let target = &mut self.targets[id];
+        let update = target.availability.record_entry(now, spec.entry());
+        if update == Update::Outdated {
+            return (id, update);
+        }
+        if update == Update::Restarted || target.spec.address != spec.address {
+            // Measurements of the earlier lifetime or address no longer apply.
+            target.measured_slowdown = 1.0;
+            target.failure_score = 0.0;
+            target.other_requests = 0.0;
+            target.is_returning = false;
+        }
+        let (region, is_remote) = self.locate(&spec.centre);
+        let target = &mut self.targets[id];
+        if target.region != region || target.is_remote != is_remote {
+            target.round_trip_ms = None;
+        }
+        (target.region, target.is_remote) = (region, is_remote);
+        target.spec = spec;
+        let former = std::mem::replace(&mut target.service, service);
+        if former != service {
+            self.services[former].targets.retain(|&other| other != id);
+        }
+        if !self.services[service].targets.contains(&id) {
+            self.services[service].targets.push(id);
         }
-        // Targets in a data centre that the settings do not name are treated as remote.
-        let region = self.centre_regions.get(&spec.centre).copied();
-        let is_remote = region != Some(self.region);
+        (id, update)
+    }
+
+    fn insert_target(&mut self, now: Instant, service: ServiceId, spec: TargetSpec) -> TargetId {
+        let (region, is_remote) = self.locate(&spec.centre);
         let target = Target {
-            region: region.unwrap_or(usize::MAX),
+            region,
             service,
             hash_seed: xxh3_64_with_seed(spec.id.as_bytes(), 0),
             is_remote,
-            is_listed: true,
-            is_gone: false,
-            cold_until,
+            availability: Availability::new(now, spec.entry()),
+            is_returning: false,
             running: Vec::new(),
             other_requests: 0.0,
             other_requests_at: now,
@@ -344,14 +363,37 @@
         id
     }
 
-    /// Removes a target that the registry no longer lists. Returns whether it was listed.
+    /// The region of a data centre, and whether it is another one than this machine's. Data centres
+    /// that the settings do not name are treated as remote.
+    fn locate(&self, centre: &str) -> (usize, bool) {
+        let region = self.centre_regions.get(centre).copied();
+        (region.unwrap_or(usize::MAX), region != Some(self.region))
+    }
+
+    /// Records that the registry holds no valid entry of a target any more. Returns whether it held
+    /// one. What is known of the target's lifetime is kept, since it may be listed again.
     pub fn remove_target(&mut self, name: &str) -> bool {
         let Some(&id) = self.targets_by_name.get(name) else { return false };
-        self.targets_by_name.remove(name);
         let target = &mut self.targets[id];
-        target.is_listed = false;
         self.services[target.service].targets.retain(|&other| other != id);
-        true
+        target.availability.record_removal()
+    }
+
+    /// Records that a reply of `lifetime` says that the target is leaving. Returns whether this was
+    /// unknown.
+    pub fn record_leaving(&mut self, id: TargetId, lifetime: Lifetime) -> bool {
+        self.targets[id].availability.record_leaving(lifetime)
+    }
+
+    /// Records that a reply of `lifetime` turns this machine away for `wait`.
+    pub fn record_refusal(&mut self, now: Instant, id: TargetId, lifetime: Lifetime, wait: Span) {
+        let target = &mut self.targets[id];
+        let hash = xxh3_64_with_seed(self.machine.as_bytes(), target.hash_seed);
+        let spread = RETURN_SPREAD * (hash as f64 / u64::MAX as f64);
+        let wait = wait.min(availability::MAX_REFUSAL);
+        let wait = wait + Span::from_micros((wait.as_micros() as f64 * spread) as u64);
+        target.availability.record_refusal(now, lifetime, wait);
+        target.is_returning = true;
     }
 
     /// The target with id `id`.
@@ -359,20 +401,35 @@
         &self.targets[id]
     }
 
-    /// Names of the listed targets.
-    pub fn target_names(&self) -> impl Iterator<Item = &str> {
-        self.targets_by_name.keys().map(String::as_str)
+    /// The number of listed targets.
+    pub fn target_count(&self) -> usize {
+        self.targets.values().filter(|target| target.availability.is_listed()).count()
     }
 
     /// The id of the listed target called `name`.
     pub fn find_target(&self, name: &str) -> Option<TargetId> {
-        self.targets_by_name.get(name).copied()
+        let id = self.targets_by_name.get(name).copied()?;
+        self.targets[id].availability.is_listed().then_some(id)
     }
 
-    /// Whether requests may be sent to the target now.
-    pub fn may_send(&self, id: TargetId) -> bool {
+    /// Whether requests may be sent to the target at `now`.
+    pub fn may_send(&self, now: Instant, id: TargetId) -> bool {
         let target = &self.targets[id];
-        target.is_usable() && !self.evacuated_centres.contains(&target.spec.centre)
+        target.is_usable(now) && !self.evacuated_centres.contains(&target.spec.centre)
+    }
+
+    /// The time after which the first target that has turned this machine away may be used again, if
+    /// there is one that may run the request.
+    fn refusal_wait(&self, now: Instant, query: &Query<'_>) -> Option<Span> {
+        let targets = self.services[query.service].targets.iter().map(|&id| &self.targets[id]);
+        let ends = targets
+            .filter(|target| query.allowed_regions.contains(target.region))
+            .filter(|target| !self.evacuated_centres.contains(&target.spec.centre))
+            .filter_map(|target| match target.availability.state(now) {
+                State::Refusing(end) => Some(end.since(now)),
+                _ => None,
+            });
+        ends.min()
     }
 
     /// Chooses the target with the lowest cost among those that are expected to reply in time.
@@ -391,7 +448,10 @@
             (true, false) => Ordering::Greater,
             (false, true) => Ordering::Less,
         });
-        let Some(best) = best else { return Err(Refusal::NoTarget) };
+        let Some(best) = best else {
+            let wait = self.refusal_wait(now, query);
+            return Err(wait.map_or(Refusal::NoTarget, Refusal::TurnedAway));
+        };
         if is_late(&best) {
             let retry_after =
                 span_from_ms((best.latency_ms - time_left_ms).max(best.wait_ms / 2.0));
@@ -411,17 +471,18 @@
             position: best.position,
             route: query.route,
             is_cached: best.is_cached,
+            lifetime: self.targets[best.target].availability.lifetime(),
         })
     }
 
     /// Targets that may run the request, in the rendezvous order of its object.
-    fn candidates(&self, query: &Query<'_>) -> Vec<Candidate> {
+    fn candidates(&self, now: Instant, query: &Query<'_>) -> Vec<Candidate> {
         let service = &self.services[query.service];
         let mut capacity = vec![0.0; self.regions.len()];
         let mut targets = Vec::with_capacity(service.targets.len());
         for &id in &service.targets {
             let target = &self.targets[id];
-            if query.allowed_regions.contains(target.region) && self.may_send(id) {
+            if query.allowed_regions.contains(target.region) && self.may_send(now, id) {
                 targets.push(id);
                 if let Some(capacity) = capacity.get_mut(target.region) {
                     *capacity += f64::from(target.spec.slots);
@@ -450,7 +511,7 @@
         let work = service.work_times.get(&query.route).copied().unwrap_or_default();
         let usual_other_requests = service.usual_other_requests(now);
         let mut ranked = Vec::new();
-        for (position, candidate) in self.candidates(query).into_iter().enumerate() {
+        for (position, candidate) in self.candidates(now, query).into_iter().enumerate() {
             let target = &self.targets[candidate.target];
             let is_cached = has_object && position < CACHING_TARGETS && candidate.key.is_finite();
             let would_displace = has_object && !is_cached;
@@ -491,7 +552,10 @@
             });
         }
         let cold_per_s = service.cold_per_s;
-        ranked.retain(|candidate| self.is_within_cold_limit(now, candidate.target, cold_per_s));
+        ranked.retain(|candidate| {
+            self.targets[candidate.target].may_return()
+                && self.is_within_cold_limit(now, candidate.target, cold_per_s)
+        });
         ranked
     }
 
@@ -523,6 +587,7 @@
         }
         target.running.push(RunningAttempt {
             number,
+            lifetime: choice.lifetime,
             start: now,
             expected_ms: as_ms(choice.expected_latency).max(1.0),
             route: choice.route,
@@ -544,7 +609,7 @@
             // The work takes at least as long as the attempt has lasted.
             Outcome::TimedOut => self.record_work_time(now, attempt.target, &run),
             Outcome::Shed => target.add_failure(now, 0.5),
-            Outcome::Gone => target.is_gone = true,
+            Outcome::Gone => target.availability.record_misdirection(run.lifetime),
             Outcome::Unreachable => target.add_failure(now, 4.0),
             Outcome::Lost => target.add_failure(now, 1.0),
             Outcome::Cancelled => {}
@@ -555,6 +620,7 @@
         let target = &mut self.targets[id];
         target.failure_score = target.failure_score(now) * 0.5;
         target.failure_score_at = now;
+        target.is_returning &= run.start < target.availability.refusing_until();
         self.record_work_time(now, id, run);
     }
 
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::availability::{Availability, Entry, Lifetime, State};
 use crate::id::ServiceId;
 use crate::time::{Instant, Span};
 use crate::window;
@@ -13,6 +14,8 @@
 /// Time constant of the decay of the reported slowdown, which is due to noisy neighbours of the
 /// target and changes several times a second.
 const REPORTED_SLOWDOWN_TIME_CONSTANT_MS: f64 = 250.0;
+/// Attempts of this machine in flight at a target that has turned it away, until one is answered.
+const MAX_RETURNING: usize = 1;
 /// A target is overdue if an attempt there has taken this many times as long as expected.
 const OVERDUE_FACTOR: f64 = 4.0;
 
@@ -35,6 +38,20 @@
     pub cold_time_left: Span,
     /// Its start in Unix milliseconds, if it reports it.
     pub start_unix_ms: Option<u64>,
+    /// Number of the check-in, which grows until the target starts again.
+    pub sequence: u64,
+}
+
+impl TargetSpec {
+    /// What the entry says of the target's availability.
+    pub(crate) fn entry(&self) -> Entry {
+        Entry {
+            lifetime: Lifetime { start_unix_ms: self.start_unix_ms, address: self.address },
+            sequence: self.sequence,
+            is_leaving: self.is_leaving,
+            cold_time_left: self.cold_time_left,
+        }
+    }
 }
 
 /// The load that a target reports with its replies.
@@ -71,6 +88,8 @@
 #[derive(Debug)]
 pub(crate) struct RunningAttempt {
     pub(crate) number: u64,
+    /// The target's lifetime when it was chosen.
+    pub(crate) lifetime: Lifetime,
     pub(crate) start: Instant,
     pub(crate) expected_ms: f64,
     pub(crate) route: u64,
@@ -86,10 +105,10 @@
     pub(crate) service: ServiceId,
     pub(crate) hash_seed: u64,
     pub(crate) is_remote: bool,
-    pub(crate) is_listed: bool,
-    pub(crate) is_gone: bool,
+    pub(crate) availability: Availability,
     pub(crate) region: usize,
-    pub(crate) cold_until: Instant,
+    /// Whether it has turned this machine away and not answered a request since.
+    pub(crate) is_returning: bool,
     pub(crate) running: Vec<RunningAttempt>,
     pub(crate) other_requests: f64,
     pub(crate) other_requests_at: Instant,
@@ -104,9 +123,19 @@
 }
 
 impl Target {
-    /// Whether the registry lists it and it takes new work.
-    pub fn is_usable(&self) -> bool {
-        self.is_listed && !self.is_gone && !self.spec.is_leaving
+    /// Whether it takes new work at `now`.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        matches!(self.availability.state(now), State::Usable | State::Cold(_))
+    }
+
+    /// What is known of its availability.
+    pub fn availability(&self) -> &Availability {
+        &self.availability
+    }
+
+    /// Whether one more attempt of this machine may run there after it was turned away.
+    pub(crate) fn may_return(&self) -> bool {
+        !self.is_returning || self.running.len() < MAX_RETURNING
     }
 
     /// Number of attempts of this machine in flight there.
@@ -115,7 +144,7 @@
     }
 
     pub(crate) fn is_cold(&self, now: Instant) -> bool {
-        now < self.cold_until
+        self.availability.is_cold(now)
     }
 
     /// Factor on work times: the larger of the measured and the reported slowdown.
--- a/crates/core/tests/balancer.rs
+++ b/crates/core/tests/balancer.rs
@@ -35,6 +35,7 @@
         is_leaving: false,
         cold_time_left: Span::ZERO,
         start_unix_ms: Some(1),
+        sequence: 1,
     }
 }
 
@@ -63,6 +64,44 @@
     balancer.target(choice.target).spec.id.clone()
 }
 
+/// An entry of another writer, put right by the next check-in, must leave nothing behind.
+#[test]
+fn a_target_whose_service_changes_for_a_moment() {
+    let mut balancer = balancer();
+    let (id, _) = balancer.upsert_target(at(0), spec("t-1", "za"));
+    let stray = TargetSpec { service: "other".to_owned(), ..spec("t-1", "za") };
+    assert_eq!(balancer.upsert_target(at(1), stray).0, id);
+    assert_eq!(choose(&mut balancer, 1, 1), Err(Refusal::NoTarget));
+    let other = balancer.service_id("other");
+    assert!(balancer.choose(at(1), &query(other, 1)).is_ok());
+    balancer.upsert_target(at(2), spec("t-1", "za"));
+    assert_eq!(balancer.choose(at(2), &query(other, 1)), Err(Refusal::NoTarget));
+    assert_eq!(choose(&mut balancer, 2, 1).unwrap().target, id);
+    balancer
+        .upsert_target(at(3), TargetSpec { is_leaving: true, sequence: 2, ..spec("t-1", "za") });
+    assert_eq!(choose(&mut balancer, 3, 1), Err(Refusal::NoTarget));
+    balancer.remove_target("t-1");
+    assert_eq!(choose(&mut balancer, 4, 1), Err(Refusal::NoTarget));
+}
+
+/// A target that returns under its name in another data centre must not keep its former region:
+/// routes bound to a region would reach it.
+#[test]
+fn a_target_that_returns_in_another_region() {
+    let mut balancer = balancer();
+    balancer.upsert_target(at(0), spec("t-1", "za"));
+    balancer.remove_target("t-1");
+    let moved = TargetSpec { start_unix_ms: Some(2), ..spec("t-1", "ga") };
+    balancer.upsert_target(at(1), moved);
+    let service = balancer.service_id("s");
+    let zurich = balancer.region_set(&["zurich".to_owned()]);
+    let bound = Query { allowed_regions: zurich, ..query(service, 1) };
+    assert_eq!(balancer.choose(at(1), &bound), Err(Refusal::NoTarget));
+    let geneva = balancer.region_set(&["geneva".to_owned()]);
+    let bound = Query { allowed_regions: geneva, ..query(service, 1) };
+    assert!(balancer.choose(at(1), &bound).is_ok());
+}
+
 #[test]
 fn requests_for_an_object_go_to_the_same_target() {
     let mut balancer = balancer();
@@ -154,7 +193,7 @@
 #[test]
 fn a_request_that_would_be_late_is_refused_with_a_retry_time() {
     let mut balancer = balancer();
-    let id = balancer.upsert_target(at(0), spec("t-1", "za"));
+    let (id, _) = balancer.upsert_target(at(0), spec("t-1", "za"));
     balancer.record_load(
         at(1),
         id,
@@ -191,7 +230,7 @@
 #[test]
 fn requests_are_refused_if_all_targets_are_full() {
     let mut balancer = balancer();
-    let id = balancer.upsert_target(at(0), spec("t-1", "za"));
+    let (id, _) = balancer.upsert_target(at(0), spec("t-1", "za"));
     balancer.record_load(
         at(1),
         id,
@@ -205,7 +244,7 @@
 #[test]
 fn load_reports_of_a_past_overload_expire() {
     let mut balancer = balancer();
-    let id = balancer.upsert_target(at(0), spec("t-1", "za"));
+    let (id, _) = balancer.upsert_target(at(0), spec("t-1", "za"));
     for ms in 0..500 {
         balancer.record_load(
             at(ms),
--- a/crates/core/tests/simulation/mod.rs
+++ b/crates/core/tests/simulation/mod.rs
@@ -223,5 +223,6 @@
         is_leaving: false,
         cold_time_left: Span::ZERO,
         start_unix_ms: None,
+        sequence: 1,
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -76,7 +76,7 @@
         gateway.metrics.connects.inc();
         gateway.state().balancer.record_round_trip(target, connect);
     }
-    if !gateway.state().balancer.may_send(target) {
+    if !gateway.state().balancer.may_send(clock::now(), target) {
         return Outcome::Unsent(
             "the target started leaving while the connection was opened".to_owned(),
         );
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -31,7 +31,7 @@
 const DEADLINE_MARGIN: Span = Span::from_millis(25);
 /// Limit on targets tried per request, including those that refuse it.
 const MAX_TARGETS: usize = 4;
-/// Bounds of the Retry-After time, before jitter.
+/// Bounds of the Retry-After time, before jitter. A time that targets have asked for may be longer.
 const MIN_RETRY_AFTER: Span = Span::from_millis(150);
 const MAX_RETRY_AFTER: Span = Span::from_millis(2_000);
 
@@ -162,9 +162,8 @@
     *response.status_mut() = reply_status(reason);
     if response.status() == StatusCode::SERVICE_UNAVAILABLE {
         // Jitter keeps callers that were refused together from retrying together.
-        let retry_after =
-            retry_after.unwrap_or(MIN_RETRY_AFTER).max(MIN_RETRY_AFTER).min(MAX_RETRY_AFTER);
-        let jitter = fastrand::u64(0..=retry_after.as_micros() / 2);
+        let retry_after = retry_after.unwrap_or(MIN_RETRY_AFTER).max(MIN_RETRY_AFTER);
+        let jitter = fastrand::u64(0..=retry_after.min(MAX_RETRY_AFTER).as_micros() / 2);
         let (name, value) = header::retry_after_header(retry_after + Span::from_micros(jitter));
         response.headers_mut().insert(name, value);
     }
@@ -339,9 +338,14 @@
             Ok(choice) => choice,
             Err(Refusal::NoTarget) if tried.is_empty() => break (Reason::NoTarget, None),
             Err(Refusal::NoTarget) => break (Reason::Shed, None),
+            Err(Refusal::TurnedAway(wait)) => {
+                attempts.push(turned_away_fields(&job, wait));
+                let reason = if tried.is_empty() { Reason::NoTarget } else { Reason::Shed };
+                break (reason, Some(wait));
+            }
             Err(Refusal::Full(full)) => {
                 attempts.push(refusal_fields(&job, full));
-                break (Reason::DeadlineTooClose, Some(full.retry_after));
+                break (Reason::DeadlineTooClose, Some(full.retry_after.min(MAX_RETRY_AFTER)));
             }
         };
         tried.push(choice.target);
@@ -426,6 +430,16 @@
     })
 }
 
+/// Log fields of a request refused because all targets have turned this machine away.
+fn turned_away_fields(job: &Job, wait: Span) -> Value {
+    json!({
+        "service": job.route.service_name,
+        "config": job.route.version,
+        "wait_ms": wait.as_millis(),
+        "result": "turned away by all targets",
+    })
+}
+
 /// Takes one retry from this machine's share of the fleet's retry budget.
 fn take_retry(gateway: &Gateway, job: &Job) -> bool {
     let now = clock::now();
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ebonypass_core::availability::Update;
 use ebonypass_core::relay::{self, Fault, Selector, Step};
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_node::clock;
@@ -405,8 +406,12 @@
             "cold_ms": spec.cold_time_left.as_millis(),
             "revision": object.metadata.revision,
         });
-        let id = state.balancer.upsert_target(now, spec);
+        let (id, update) = state.balancer.upsert_target(now, spec);
         drop(state);
+        if update == Update::Outdated {
+            self.log.record(Event::EntryOutdated, fields);
+            return;
+        }
         match previous {
             None if is_logged => self.log.record(Event::TargetAdded, fields),
             None => {}
@@ -473,7 +478,7 @@
         let now = clock::now();
         let state = self.state();
         self.metrics.version.set(state.version as i64);
-        self.metrics.targets.set(state.balancer.target_names().count() as i64);
+        self.metrics.targets.set(state.balancer.target_count() as i64);
         self.metrics.machines.set(state.membership.live_peers(now).count() as i64 + 1);
         for (kind, mirror) in &state.mirrors {
             let labels = KindLabels { kind: kind.label() };
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -73,6 +73,8 @@
     EvacuationsChanged = 206 Info "evacuations changed",
     /// This machine gets the store's objects from another source than before.
     SourceChanged = 207 Info "source of objects changed",
+    /// A target's entry is older than what is known of the target, and was ignored.
+    EntryOutdated = 208 Info "outdated entry ignored",
 
     /// Certificate and key were reloaded.
     CertificateLoaded = 300 Info "certificate loaded",
@@ -105,6 +107,9 @@
     /// while.
     ConnectionsSuspect = 504 Warn "pooled connections may be stale",
 
+    /// A target asked this machine to send no requests for a time.
+    TargetRefusing = 505 Info "target turns this machine away",
+
     /// A caller's request was malformed.
     CallerRefused = 600 Warn "caller refused",
     /// A limit refused or closed a caller's connection.
