Believe what targets say of themselves in replies: leaving, and turning away

A non-idempotent request that a target may have run was answered 503.

Cause: neither Server-Leaving nor the Retry-After of a target was read.

Change: from the head of a reply with Server-Leaving on, the target gets nothing more in its lifetime, and its idle connections are closed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,13 +1,16 @@
 //! Sends a request to one target, and reads and validates the reply.
 
 use std::rc::Rc;
+use std::time::SystemTime;
 
 use bytes::Bytes;
+use ebonypass_core::availability::State;
 use ebonypass_core::balancer::{self, Choice};
 use ebonypass_core::id::TargetId;
+use ebonypass_core::time::Span;
 use ebonypass_node::clock;
 use ebonypass_node::event::Event;
-use ebonypass_platform::header::{self, ReplyMetadata};
+use ebonypass_platform::header::{self, ReplyMetadata, RetryAfter};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, header as http_header};
@@ -78,7 +81,7 @@
     }
     if !gateway.state().balancer.may_send(clock::now(), target) {
         return Outcome::Unsent(
-            "the target started leaving while the connection was opened".to_owned(),
+            "the target stopped taking requests while the connection was opened".to_owned(),
         );
     }
     let mut request = Request::new(Full::new(job.body.clone()));
@@ -102,7 +105,7 @@
             return Outcome::Lost(error);
         }
     };
-    read_reply(gateway, job, target, connection, is_reused, response).await
+    read_reply(gateway, job, choice, connection, is_reused, response).await
 }
 
 /// The URI in origin form: path and query only.
@@ -114,13 +117,15 @@
 async fn read_reply(
     gateway: &Rc<Gateway>,
     job: &Job,
-    target: TargetId,
+    choice: &Choice,
     connection: Connection,
     is_reused: bool,
     response: Response<Incoming>,
 ) -> Outcome {
     let (parts, mut rest) = response.into_parts();
-    let metadata = header::scan_reply_metadata(parts.status, &parts.headers);
+    let metadata = header::scan_reply_metadata(parts.status, &parts.headers, SystemTime::now());
+    let target = choice.target;
+    record_availability(gateway, choice, &metadata);
     if let Some(load) = metadata.load {
         gateway.state().balancer.record_load(clock::now(), target, load);
     }
@@ -139,7 +144,7 @@
         Err(error) => return Outcome::Lost(error_with_source(&error)),
     };
     if metadata.is_not_run {
-        gateway.pool.put_back(target, connection, metadata.idle_timeout);
+        put_back(gateway, target, connection, metadata.idle_timeout);
         return Outcome::NotRun(if metadata.is_misdirected {
             balancer::Outcome::Gone
         } else {
@@ -150,6 +155,9 @@
     if parts.status.is_success() && !is_valid {
         return Outcome::Lost("the reply has no target signature or is content-encoded".to_owned());
     }
+    if !job.route.idempotent && promises_not_run(parts.status) {
+        return Outcome::Lost(format!("{} without saying that it did not run", parts.status));
+    }
     let mut headers = header::end_to_end_headers(&parts.headers);
     if job.method == Method::HEAD
         && let Some(length) = parts.headers.get(http_header::CONTENT_LENGTH)
@@ -159,7 +167,7 @@
     let body = if is_whole {
         let is_reusable = !is_closing(&parts.headers);
         if is_reusable {
-            gateway.pool.put_back(target, connection, metadata.idle_timeout);
+            put_back(gateway, target, connection, metadata.idle_timeout);
         }
         Body::whole(start)
     } else {
@@ -171,6 +179,51 @@
     Outcome::Reply(Box::new(Reply { status: parts.status, headers, metadata, body }))
 }
 
+/// Whether a caller takes a reply with this status for a statement that the request did not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    let statuses = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    statuses.contains(&status)
+}
+
+/// Records what the head of a reply says of whether its target takes requests.
+fn record_availability(gateway: &Gateway, choice: &Choice, metadata: &ReplyMetadata) {
+    let (target, lifetime) = (choice.target, choice.lifetime);
+    let name = || gateway.state().balancer.target(target).spec.id.clone();
+    if metadata.is_leaving && gateway.state().balancer.record_leaving(target, lifetime) {
+        gateway.pool.close_target(target);
+        gateway.log.record(Event::TargetLeaving, json!({ "target": name(), "source": "reply" }));
+    }
+    match &metadata.retry_after {
+        Some(RetryAfter::Wait(wait)) if *wait > Span::ZERO => {
+            gateway.state().balancer.record_refusal(clock::now(), target, lifetime, *wait);
+            let fields = json!({ "target": name(), "wait_ms": wait.as_millis() });
+            gateway.log.record(Event::TargetRefusing, fields);
+        }
+        Some(RetryAfter::Malformed(text)) => {
+            let fields = json!({ "target": name(), "malformed": text });
+            gateway.log.record(Event::TargetRefusing, fields);
+        }
+        Some(RetryAfter::Wait(_)) | None => {}
+    }
+}
+
+/// Keeps a connection for further requests, unless its target takes none in this lifetime.
+fn put_back(
+    gateway: &Gateway,
+    target: TargetId,
+    connection: Connection,
+    idle_timeout: Option<Span>,
+) {
+    let state = gateway.state().balancer.target(target).availability().state(clock::now());
+    if !matches!(state, State::Leaving | State::Gone) {
+        gateway.pool.put_back(target, connection, idle_timeout);
+    }
+}
+
 fn is_closing(headers: &HeaderMap) -> bool {
     let values = headers.get_all(http_header::CONNECTION).iter();
     values
--- a/crates/gateway/tests/fake/target.rs
+++ b/crates/gateway/tests/fake/target.rs
@@ -44,6 +44,10 @@
     Precedes(&'static str),
     /// The first bytes of a valid reply, as many as this, then closes the connection.
     Cuts(usize),
+    /// A reply with this status and these header lines, signed and without a body.
+    Says(&'static str, &'static str),
+    /// This text, with the request's id for `{id}`; then closes the connection.
+    Ends(&'static str),
     /// This text, and then the other one without end.
     Endless(&'static str, &'static str),
     /// The same, a byte every this long.
@@ -167,6 +171,13 @@
                     ),
                     false,
                 ),
+                Behaviour::Says(status, lines) => (
+                    format!(
+                        "HTTP/1.1 {status}\r\n{id_header}X-Server-Signature: 1.2\r\n{lines}Content-Length: 0\r\n\r\n"
+                    ),
+                    false,
+                ),
+                Behaviour::Ends(text) => (text.replace("{id}", &id), true),
                 Behaviour::Fails => (
                     format!(
                         "HTTP/1.1 500 Error\r\n{id_header}X-Server-Signature: 1.2\r\nContent-Length: 0\r\n\r\n"
