Play the standard load on targets that turn machines away

The test plays half of the targets, then all, then one by one back, with the callers that were refused coming back at the time that they were told.

--- a/crates/core/tests/simulation/mod.rs
+++ b/crates/core/tests/simulation/mod.rs
@@ -1,9 +1,13 @@
 //! Simulates a load on targets with a few slots, a queue each, and an LRU cache of objects.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 
-use ebonypass_core::balancer::{self, Attempt, Balancer, Config, Query, RegionSet, TargetSpec};
+use ebonypass_core::balancer::{
+    self, Attempt, Balancer, Config, Query, Refusal, RegionSet, TargetSpec,
+};
 use ebonypass_core::id::TargetId;
 use ebonypass_core::time::{Instant, Span};
 
@@ -12,6 +16,8 @@
 /// Number of objects that a target caches.
 const CACHE_CAPACITY: usize = 25;
 const SLOTS: usize = 3;
+/// Targets that a request is sent to at most.
+const MAX_TARGETS: usize = 4;
 /// Callers give up after this time.
 const CALLER_TIMEOUT_MS: u64 = 1_200;
 
@@ -44,6 +50,10 @@
     within_objective: u32,
     late: u32,
     uncached: u32,
+    /// Requests that reached a target, with time, target and machine.
+    pub arrivals: Vec<(u64, usize, usize)>,
+    /// The most requests that ran and waited at one target, by second.
+    pub peaks: HashMap<u64, usize>,
 }
 
 impl Summary {
@@ -75,6 +85,8 @@
     machine: usize,
     attempt: Option<Attempt>,
     target: Option<TargetId>,
+    /// Whether its caller has come back after it was told when to.
+    has_returned: bool,
 }
 
 /// A pseudo-random number generator.
@@ -90,6 +102,16 @@
 
 impl Simulation {
     pub fn run(&self, placement: Placement) -> Summary {
+        self.run_with(placement, |_, _| None)
+    }
+
+    /// Runs with targets that turn machines away. `refuse` tells for a target and a time, in
+    /// microseconds, for how long.
+    pub fn run_with(
+        &self,
+        placement: Placement,
+        refuse: impl Fn(usize, u64) -> Option<Span>,
+    ) -> Summary {
         let mut random = Random(self.seed);
         let regions: HashMap<String, String> = [("c".to_owned(), "r".to_owned())].into();
         let mut balancers: Vec<Balancer> = (0..self.machines)
@@ -123,6 +145,7 @@
                 machine,
                 attempt: None,
                 target: None,
+                has_returned: false,
             });
         }
         while let Some(Reverse((us, is_end, index))) = events.pop() {
@@ -132,21 +155,47 @@
             if !is_end {
                 summary.requests += 1;
                 let object = (placement == Placement::ByObject).then_some(requests[index].object);
-                let query = Query {
-                    service: balancer.service_id("s"),
-                    route: 1,
-                    object,
-                    allowed_regions: RegionSet::ANY,
-                    tried: &[],
-                    latency_objective: Span::from_millis(self.latency_objective_ms),
-                    time_left: Span::from_millis(CALLER_TIMEOUT_MS),
+                let mut tried = Vec::new();
+                let chosen = loop {
+                    let query = Query {
+                        service: balancer.service_id("s"),
+                        route: 1,
+                        object,
+                        allowed_regions: RegionSet::ANY,
+                        tried: &tried,
+                        latency_objective: Span::from_millis(self.latency_objective_ms),
+                        time_left: Span::from_millis(CALLER_TIMEOUT_MS),
+                    };
+                    let choice = match balancer.choose(now, &query) {
+                        Ok(choice) => choice,
+                        Err(Refusal::TurnedAway(wait)) if !requests[index].has_returned => {
+                            // The gateway adds up to half of the time that it tells the caller.
+                            let wait_us = wait.as_micros() as f64 * (1.0 + random.uniform() / 2.0);
+                            requests[index].has_returned = true;
+                            events.push(Reverse((us + wait_us as u64, false, index)));
+                            break None;
+                        }
+                        Err(_) => break None,
+                    };
+                    let number: usize = balancer.target(choice.target).spec.id.parse().unwrap();
+                    summary.arrivals.push((us, number, machine));
+                    let Some(wait) = refuse(number, us) else { break Some((choice, number)) };
+                    let attempt = balancer.start_attempt(now, &choice);
+                    balancer.record_refusal(now, choice.target, choice.lifetime, wait);
+                    balancer.finish_attempt(now, attempt, balancer::Outcome::Shed);
+                    tried.push(choice.target);
+                    if tried.len() >= MAX_TARGETS {
+                        break None;
+                    }
                 };
-                let Ok(choice) = balancer.choose(now, &query) else { continue };
-                let number = balancer.target(choice.target).spec.id.parse().unwrap();
+                let Some((choice, number)) = chosen else { continue };
                 let request = &mut requests[index];
                 request.attempt = Some(balancer.start_attempt(now, &choice));
                 (request.server, request.target) = (number, Some(choice.target));
                 servers[number].waiting.push_back(index);
+                let held = servers[number].running + servers[number].waiting.len();
+                let peak = summary.peaks.entry(us / 1_000_000).or_default();
+                *peak = held.max(*peak);
                 summary.uncached += self.start_waiting(
                     us,
                     number,
