Take the platform's times as seconds with fractions

Cause: the template appended three zeros to graceS and ttl_max_s. 7.5 became 7.5000, which was refused, so that no gateway started; for the look-up time it was read as 7.5 ms. The platform's page allows fractions.

Change: times.grace_s and times.lookup_s are seconds and may have a fraction.

Measured: the_template_takes_fractions fails on the former template and passes now.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,7 +7,7 @@
 use ebonypass_core::time::Span;
 use ebonypass_node::settings::{Check, Fault, check_range};
 use serde::Deserialize;
-use serde_with::{DurationMilliSeconds, serde_as};
+use serde_with::{DurationSecondsWithFrac, serde_as};
 use std::time::Duration;
 
 /// Settings of one gateway process. `gateway.example.toml` documents them.
@@ -110,12 +110,12 @@
 #[serde(deny_unknown_fields)]
 pub struct Times {
     /// Time from the stop signal to the kill.
-    #[serde(rename = "grace_ms")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "grace_s")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub grace: Duration,
     /// The longest time for which callers may cache a lookup reply.
-    #[serde(rename = "lookup_ms")]
-    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    #[serde(rename = "lookup_s")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub lookup: Duration,
 }
 
--- a/crates/gateway/tests/fake/gateway.rs
+++ b/crates/gateway/tests/fake/gateway.rs
@@ -80,7 +80,7 @@
              [listen]\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\nlookups = \"{lookups}\"\nmesh_port = {MESH_PORT}\nmetrics_port = {METRICS_PORT}\n\
              [store]\naddress = \"{}\"\n\
              [limits]\nmemory_mb = 260\ndescriptors = 1024\ncpu_share = 0.2\nlink_mbps = 1000\n\
-             [times]\ngrace_ms = 6000\nlookup_ms = 5000\n\
+             [times]\ngrace_s = 6\nlookup_s = 5\n\
              [shared]\nrepeat_ratio = 0.2\nrepeat_allowance = 62\nrepeat_window_s = 10\ncold_factor = 1.5\ncold_allowance = 5\n",
             store.address
         );
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Settings. Guards against a process that starts with settings that cannot work.
 
 use std::path::Path;
+use std::time::Duration;
 
 use ebonypass_gateway::settings::Settings;
 use ebonypass_node::settings::scan;
@@ -21,10 +22,31 @@
 #[test_case("cpu_share = 0.2", "cpu_share = 0.0", "limits.cpu_share"; "no processor")]
 #[test_case("link_mbps = 1000", "link_mbps = 0", "limits.link_mbps"; "no link")]
 #[test_case("repeat_ratio = 0.2", "repeat_ratio = 2.0", "shared.repeat_ratio"; "a ratio over one")]
-#[test_case("grace_ms = 6000", "grace = 6", "grace"; "an unknown field")]
+#[test_case("grace_s = 6", "grace_s = -6", "grace_s"; "a negative time")]
+#[test_case("grace_s = 6", "grace = 6", "grace"; "an unknown field")]
 fn names_the_invalid_field(old: &str, new: &str, field: &str) {
     let text = EXAMPLE.replacen(old, new, 1);
     assert_ne!(text, EXAMPLE);
     let fault = scan::<Settings>(&text, Path::new("")).unwrap_err();
     assert!(fault.to_string().contains(field), "{fault}");
 }
+
+/// The section of times of a settings file.
+fn times(text: &str) -> &str {
+    let start = text.find("[times]").unwrap();
+    let length = text[start..].find("[shared]").unwrap();
+    &text[start..start + length]
+}
+
+/// The platform states its bounds as whole numbers or fractions. A fraction kept every process from
+/// starting, or was read as a thousandth.
+#[test]
+fn the_template_takes_fractions() {
+    let template = include_str!("../../../deploy/gateway.toml.template");
+    let rendered =
+        times(template).replace("{{bounds.graceS}}", "7.5").replace("{{bounds.ttl_max_s}}", "2.5");
+    let text = EXAMPLE.replace(times(EXAMPLE), &rendered);
+    let settings: Settings = scan(&text, Path::new("")).unwrap();
+    let expected = (Duration::from_millis(7_500), Duration::from_millis(2_500));
+    assert_eq!((settings.times.grace, settings.times.lookup), expected);
+}
