--- a/crates/core/tests/turned_away.rs
+++ b/crates/core/tests/turned_away.rs
@@ -74,8 +74,7 @@
         assert!(!is_learned || *peak <= MAX_HELD, "{peak} held by a target in second {second}");
     }
     let returned = summary.arrivals.iter().filter(|(us, ..)| *us > 15 * SECOND);
-    let targets: std::collections::HashSet<usize> =
-        returned.map(|(_, target, _)| *target).collect();
+    let targets: HashSet<usize> = returned.map(|(_, target, _)| *target).collect();
     assert_eq!(targets.len(), TARGETS, "all targets are used again");
 }
 
