Treat replies with a status outside 200 to 599 as lost

The HTTP library decodes statuses up to 999 and hands over 101, and the gateway passed such replies to the caller, also with a success's body. A status of 000, 099, letters or another number of digits was already refused by the library. The new test failed in 5 of 16 cases before (600, 799, 999 and 101 twice) and passes now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -123,6 +123,9 @@
     response: Response<Incoming>,
 ) -> Outcome {
     let (parts, mut rest) = response.into_parts();
+    if !is_final_status(parts.status) {
+        return Outcome::Lost(format!("{} is no status of a reply", parts.status.as_u16()));
+    }
     let metadata = header::scan_reply_metadata(parts.status, &parts.headers, SystemTime::now());
     let target = choice.target;
     record_availability(gateway, choice, &metadata);
@@ -179,6 +182,12 @@
     Outcome::Reply(Box::new(Reply { status: parts.status, headers, metadata, body }))
 }
 
+/// Whether a reply with this status ends a request. The HTTP library accepts statuses up to 999 and
+/// hands over 101, which no request asks for.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether a caller takes a reply with this status for a statement that the request did not run.
 fn promises_not_run(status: StatusCode) -> bool {
     let statuses = [
