Add the order in which requests wait while a service has too little room

Requests are sent or refused when they arrive, so queues at targets fill in the order of arrival and urgent requests are late behind patient ones. The module decides what is held, in which order, and what is refused; the gateway does not use it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod policy;
 pub mod pool;
 mod prefetch;
+pub mod pressure;
 mod queue;
 mod quorum;
 pub mod relay;
