--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_core::window::RetryBudget;
 use ebonypass_node::clock;
-use ebonypass_platform::config::Limits;
+use ebonypass_platform::config::{Features, Limits};
 use ebonypass_platform::object::Kind;
 use event_listener::Event as Signal;
 use futures_lite::future;
@@ -58,6 +58,8 @@
     pub version: u64,
     /// Active limits on requests of callers.
     pub limits: Limits,
+    /// Optional behaviour that the active configuration asks for.
+    pub features: Features,
     /// Known targets, their load and health.
     pub balancer: Balancer,
     /// Known machines, from heartbeats.
@@ -134,6 +136,7 @@
             route_table: route::Table::default(),
             version: 0,
             limits: INITIAL_LIMITS,
+            features: Features::default(),
             balancer: Balancer::new(config),
             membership: Membership::new(clock::now(), own),
             mirrors: HashMap::new(),
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -59,6 +59,7 @@
         let previous = state.version;
         state.version = config.version;
         state.limits = config.limits;
+        state.features = config.features;
         for service in &config.services {
             let shared = &self.settings.shared;
             let cold_limit_per_s = service.cold_per_s * shared.cold_factor + shared.cold_allowance;
