--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -70,6 +70,11 @@
     /// All regions.
     pub const ANY: RegionSet = RegionSet(u64::MAX);
 
+    /// The regions that are in both sets.
+    pub const fn intersection(self, other: RegionSet) -> RegionSet {
+        RegionSet(self.0 & other.0)
+    }
+
     fn contains(self, region: usize) -> bool {
         self.0 & (1 << region.min(63)) != 0
     }
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -68,6 +68,11 @@
     SourceId(u32)
 }
 
+key! {
+    /// A tenant, in the order of the configuration.
+    TenantId(u32)
+}
+
 /// A vector whose positions are keys of one type.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Arena<K, V> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod submission;
 mod suspect;
 mod target;
+pub mod tenant;
 pub mod time;
 mod timer;
 mod usage;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -84,11 +84,16 @@
     PeerLost,
     /// The request key is older than the time within which it can be granted.
     KeyExpired,
+    // Entries send each other the position of a reason, so new ones come last.
+    /// The request has no key, or one that belongs to no tenant.
+    CredentialUnknown,
+    /// The tenant has used up its quota of requests.
+    AllotmentExhausted,
 }
 
 impl Reason {
     /// Every reason, in the order of its code.
-    pub const ALL: [Reason; 27] = [
+    pub const ALL: [Reason; 29] = [
         Reason::UnknownService,
         Reason::UnknownMember,
         Reason::UnknownKind,
@@ -109,6 +114,8 @@
         Reason::DeadlinePassed,
         Reason::CallerGone,
         Reason::NoOwner,
+        Reason::CredentialUnknown,
+        Reason::AllotmentExhausted,
         Reason::TargetLost,
         Reason::ReplyTruncated,
         Reason::ArbiterGone,
@@ -141,6 +148,8 @@
             Reason::DeadlinePassed => 2018,
             Reason::CallerGone => 2019,
             Reason::NoOwner => 2020,
+            Reason::CredentialUnknown => 2021,
+            Reason::AllotmentExhausted => 2022,
             Reason::TargetLost => 3001,
             Reason::ReplyTruncated => 3002,
             Reason::ArbiterGone => 3003,
@@ -156,6 +165,12 @@
         if self.code() < 3000 { Outcome::NotRun } else { Outcome::Unknown }
     }
 
+    /// Whether the request was refused because of its tenant. Such requests are no demand that
+    /// machines should serve.
+    pub const fn is_tenant_refusal(self) -> bool {
+        matches!(self, Reason::CredentialUnknown | Reason::AllotmentExhausted)
+    }
+
     /// A one-line description for the caller.
     pub const fn message(self) -> &'static str {
         match self {
@@ -179,6 +194,8 @@
             Reason::DeadlinePassed => "the deadline passed while the request was waiting",
             Reason::CallerGone => "the caller went away while the request was waiting",
             Reason::NoOwner => "no entry that owns this pool can be reached",
+            Reason::CredentialUnknown => "the request has no key of a tenant",
+            Reason::AllotmentExhausted => "the tenant has used up its quota of requests",
             Reason::TargetLost => "the connection to the target failed after the request was sent",
             Reason::ReplyTruncated => "the target's reply was cut short",
             Reason::ArbiterGone => "the entry that vouches for this request key cannot be reached",
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -36,6 +36,8 @@
     pub attempt_limit: u32,
     /// Whether a target that has recently handled an object serves requests for it faster.
     pub has_affinity: bool,
+    /// Whether requests need no key where the configuration has tenants.
+    pub is_public: bool,
     /// Regions that may serve the route; any if empty.
     pub allowed_regions: Vec<String>,
     /// Services among which the requests are split.
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -19,6 +19,7 @@
         priority: 0,
         attempt_limit: 2,
         has_affinity: true,
+        is_public: false,
         allowed_regions: Vec::new(),
         services: services.iter().map(weighted).collect(),
     }
