Check the keys of tenants on the request path

Requests were served whatever key they had, targets got the key and the X-Tenant header of the caller, and the home regions of tenants had no effect.

A request to a route that is not public needs the key of a tenant, else it gets 401; targets get the tenant's name and no key. A request runs only in regions that its route and its tenant both allow. The key is checked again before each attempt and after a connection was opened, if the configuration has changed. Such refusals count toward neither the gossiped demand nor the retry budget, and at most 20 lines a second are logged of them. Faulty entries are logged as E220, requests of tenants are counted by tenant, ending and code. request::access::take_quota is the place of the quotas.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::gateway::Gateway;
 use crate::pool;
 use crate::request::Job;
+use crate::request::access::may_send;
 
 /// Reply bytes buffered before the head is forwarded. A reply that is truncated within them can be
 /// retried or reported as failed; a longer one is streamed.
@@ -84,6 +85,11 @@
             "the target stopped taking requests while the connection was opened".to_owned(),
         );
     }
+    if !may_send(gateway, job) {
+        return Outcome::Unsent(
+            "the tenant of the request changed while the connection was opened".to_owned(),
+        );
+    }
     let mut request = Request::new(Full::new(job.body.clone()));
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = origin_form(&job.uri);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use ebonypass_core::id::ServiceId;
 use ebonypass_core::relay::Contact;
 use ebonypass_core::route;
+use ebonypass_core::tenant;
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_core::window::RetryBudget;
 use ebonypass_node::clock;
@@ -58,6 +59,8 @@
     pub version: u64,
     /// Active limits on requests of callers.
     pub limits: Limits,
+    /// Active tenants; none if the configuration has no table of them.
+    pub tenants: Option<tenant::Table>,
     /// Optional behaviour that the active configuration asks for.
     pub features: Features,
     /// Known targets, their load and health.
@@ -136,6 +139,7 @@
             route_table: route::Table::default(),
             version: 0,
             limits: INITIAL_LIMITS,
+            tenants: None,
             features: Features::default(),
             balancer: Balancer::new(config),
             membership: Membership::new(clock::now(), own),
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -9,6 +9,7 @@
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use ebonypass_core::time::{Instant, Span};
 use ebonypass_node::event::Event;
 use serde_json::{Map, Value};
 use smol::Timer;
@@ -19,6 +20,9 @@
 const MAX_QUEUED_BATCHES: usize = 4;
 /// One in this many requests answered in time by the first attempt is logged.
 const SAMPLE_INTERVAL: u64 = 50;
+/// Requests refused because of their tenant that are logged in each second, at most. Callers without
+/// a valid key can send any number.
+const MAX_TENANT_REFUSALS_PER_S: u32 = 20;
 /// Time between two flushes.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -29,6 +33,8 @@
     buffer: RefCell<String>,
     dropped: Cell<u64>,
     sample_count: Cell<u64>,
+    /// Start of the current second, and the lines about refusals of tenants in it.
+    tenant_refusals: Cell<(Instant, u32)>,
     writer: SyncSender<String>,
 }
 
@@ -49,6 +55,7 @@
             buffer: RefCell::default(),
             dropped: Cell::new(0),
             sample_count: Cell::new(0),
+            tenant_refusals: Cell::new((Instant::ZERO, 0)),
             writer,
         }
     }
@@ -81,6 +88,15 @@
         count.is_multiple_of(SAMPLE_INTERVAL)
     }
 
+    /// Whether one more request that was refused because of its tenant may be logged.
+    pub fn may_record_tenant_refusal(&self, now: Instant) -> bool {
+        let (start, count) = self.tenant_refusals.get();
+        let is_same_second = now.since(start) < Span::from_secs(1);
+        let (start, count) = if is_same_second { (start, count) } else { (now, 0) };
+        self.tenant_refusals.set((start, count.saturating_add(1)));
+        count < MAX_TENANT_REFUSALS_PER_S
+    }
+
     /// Lines dropped since the start.
     pub fn dropped(&self) -> u64 {
         self.dropped.get()
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -40,6 +40,17 @@
     pub code: u16,
 }
 
+/// Labels of a finished request of a tenant.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TenantLabels {
+    /// Name of the tenant.
+    pub tenant: String,
+    /// How the request ended.
+    pub ending: Ending,
+    /// Code of the refusal or failure reason; 0 for a target's reply.
+    pub code: u16,
+}
+
 /// Labels of a call to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CallLabels {
@@ -69,6 +80,10 @@
     registry: Registry,
     /// Finished requests.
     pub requests: Family<RequestLabels, Counter>,
+    /// Finished requests of tenants.
+    pub tenant_requests: Family<TenantLabels, Counter>,
+    /// Faults of entries of tenants in the active configuration.
+    pub tenant_faults: Gauge,
     /// Time from a request to its reply.
     pub latency: Family<RouteLabels, Histogram>,
     /// Retries: requests sent to a further target.
@@ -107,6 +122,8 @@
         let mut registry = Registry::with_prefix("ebonypass");
         let metrics = Metrics {
             requests: Family::default(),
+            tenant_requests: Family::default(),
+            tenant_faults: Gauge::default(),
             latency: Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS)),
             retries: Counter::default(),
             connects: Counter::default(),
@@ -125,6 +142,16 @@
             registry: Registry::default(),
         };
         registry.register("requests", "Finished requests", metrics.requests.clone());
+        registry.register(
+            "tenant_requests",
+            "Finished requests of tenants",
+            metrics.tenant_requests.clone(),
+        );
+        registry.register(
+            "tenant_faults",
+            "Faults of tenants in the active configuration",
+            metrics.tenant_faults.clone(),
+        );
         registry.register_with_unit(
             "request_latency",
             "Time from a request to its reply",
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,6 +1,7 @@
 //! Handles a caller's request: reads it, forwards it to targets with retries, and returns the
 //! reply.
 
+pub(crate) mod access;
 mod forward;
 mod read;
 mod reply;
@@ -20,6 +21,7 @@
 use hyper::{HeaderMap, Method, Request, Response, Uri, header as http_header};
 use serde_json::{Value, json};
 
+use self::access::{Access, Rejection};
 use crate::body::Body;
 use crate::budget::Reservation;
 use crate::gateway::{Gateway, Phase};
@@ -35,6 +37,7 @@
     /// Memory of the body.
     _reservation: Reservation,
     pub(crate) route: MatchedRoute,
+    pub(crate) access: Access,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
 }
@@ -46,6 +49,8 @@
     pub(crate) service: ServiceId,
     pub(crate) service_name: String,
     pub(crate) idempotent: bool,
+    pub(crate) is_public: bool,
+    pub(crate) priority: u8,
     pub(crate) attempt_limit: u32,
     pub(crate) latency_objective: Span,
     pub(crate) allowed_regions: RegionSet,
@@ -61,19 +66,48 @@
     attempts: Vec<Value>,
 }
 
+/// What is recorded of a request, apart from its completion.
+struct Summary {
+    id: String,
+    /// Name of the route; empty if the request was refused before it was read.
+    route: String,
+    latency_objective: Span,
+    /// Tenant that the request belonged to on arrival.
+    tenant: Option<String>,
+    /// Priority, once the request was read.
+    priority: Option<u8>,
+}
+
 /// Counts a request as in flight. Dropped before the end, it records the request as abandoned.
 struct InFlightGuard {
     gateway: Rc<Gateway>,
     id: String,
+    /// Tenant that the request belongs to, once known.
+    tenant: Option<String>,
     arrived: Instant,
+    /// Whether the request counts toward the machine's demand.
+    is_counted: bool,
     is_finished: bool,
 }
 
 impl InFlightGuard {
     fn new(gateway: &Rc<Gateway>, arrived: Instant) -> InFlightGuard {
         gateway.in_flight.set(gateway.in_flight.get() + 1);
-        gateway.arrivals.set(gateway.arrivals.get() + 1);
-        InFlightGuard { gateway: gateway.clone(), id: String::new(), arrived, is_finished: false }
+        InFlightGuard {
+            gateway: gateway.clone(),
+            id: String::new(),
+            tenant: None,
+            arrived,
+            is_counted: false,
+            is_finished: false,
+        }
+    }
+
+    /// Counts the request toward the machine's demand, once.
+    fn count_arrival(&mut self) {
+        if !std::mem::replace(&mut self.is_counted, true) {
+            self.gateway.arrivals.set(self.gateway.arrivals.get() + 1);
+        }
     }
 }
 
@@ -86,6 +120,7 @@
             self.gateway.log.record(Event::RequestAbandoned, fields);
             let labels = reply::labels(String::new(), Ending::Abandoned, None);
             self.gateway.metrics.requests.get_or_create(&labels).inc();
+            reply::count_tenant(&self.gateway, self.tenant.as_deref(), Ending::Abandoned, None);
         }
     }
 }
@@ -100,23 +135,36 @@
         in_flight.id.clone_from(&metadata.id);
     }
     let id = in_flight.id.clone();
-    let mut route = String::new();
-    let mut latency_objective = Span::MAX;
-    let completion = match read::read_request(&gateway, metadata, parts, body, arrived).await {
+    let mut summary = Summary {
+        id: id.clone(),
+        route: String::new(),
+        latency_objective: Span::MAX,
+        tenant: None,
+        priority: None,
+    };
+    let completion = match read::read_request(&mut in_flight, metadata, parts, body).await {
         Ok(job) => {
-            route.clone_from(&job.route.name);
-            latency_objective = job.route.latency_objective;
+            summary.route.clone_from(&job.route.name);
+            summary.latency_objective = job.route.latency_objective;
+            summary.priority = Some(job.access.priority(job.route.priority));
             forward::forward(&gateway, job).await
         }
-        Err(reason) => Completion {
-            reason: Some(reason),
-            response: reply::error_reply(reason, None),
-            attempts: Vec::new(),
-        },
+        Err(Rejection { reason, retry_after }) => {
+            // Requests without a key or beyond a quota are not demand that the fleet should serve.
+            if !reason.is_tenant_refusal() {
+                in_flight.count_arrival();
+            }
+            Completion {
+                reason: Some(reason),
+                response: reply::error_reply(reason, retry_after),
+                attempts: Vec::new(),
+            }
+        }
     };
     in_flight.is_finished = true;
+    summary.tenant = in_flight.tenant.take();
     let age = clock::now().since(arrived);
-    reply::record_completion(&gateway, &id, &route, latency_objective, age, &completion);
+    reply::record_completion(&gateway, &summary, age, &completion);
     let mut response = completion.response;
     if let Some((name, value)) = header::request_id_header(&id) {
         response.headers_mut().insert(name, value);
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::access::check_again;
 use super::reply::{MAX_RETRY_AFTER, error_reply};
 use super::{Completion, Job};
 use crate::attempt::{Outcome, Reply, send_attempt};
@@ -55,13 +56,18 @@
 
 /// Sends a request to targets until one answers, or until its deadline, attempt limit or retry
 /// budget allows no more.
-pub(super) async fn forward(gateway: &Rc<Gateway>, job: Job) -> Completion {
+pub(super) async fn forward(gateway: &Rc<Gateway>, mut job: Job) -> Completion {
     let mut tried: Vec<TargetId> = Vec::new();
     let mut attempts: Vec<Value> = Vec::new();
     let mut runs = 0;
+    let mut has_sent = false;
     // The latest reply or failure of a target that may have run the request.
     let mut last: Option<Result<Box<Reply>, Reason>> = None;
     let (reason, retry_after) = loop {
+        if let Err(reason) = check_again(gateway, &mut job) {
+            // A target has seen the request and has not run it, or `last` says how it ended.
+            break (if has_sent { Reason::Shed } else { reason }, None);
+        }
         let choice = match choose_target(gateway, &job, &tried) {
             Ok(choice) => choice,
             Err(Refusal::NoTarget) if tried.is_empty() => break (Reason::NoTarget, None),
@@ -90,6 +96,7 @@
         );
         // An attempt that sent nothing does not make the next one a retry.
         let was_sent = !matches!(outcome, Some(Outcome::Unreachable(_) | Outcome::Unsent(_)));
+        has_sent |= was_sent;
         attempts.push(attempt_fields(gateway, &job, &choice, start, outcome.as_ref()));
         match outcome {
             None => break (Reason::DeadlinePassedRunning, None),
@@ -137,7 +144,7 @@
         service: job.route.service,
         route: xxh3_64(job.route.name.as_bytes()),
         object: job.route.object,
-        allowed_regions: job.route.allowed_regions,
+        allowed_regions: job.access.allowed_regions(job.route.allowed_regions),
         tried,
         latency_objective: job.route.latency_objective,
         time_left: job.deadline.since(now),
--- a/crates/gateway/src/request/read.rs
+++ b/crates/gateway/src/request/read.rs
@@ -1,12 +1,11 @@
 //! Reads requests and matches them to routes.
 
-use std::rc::Rc;
-
 use bytes::Bytes;
 use ebonypass_core::balancer::RegionSet;
 use ebonypass_core::id::ServiceId;
 use ebonypass_core::outcome::Reason;
-use ebonypass_core::time::{Instant, Span};
+use ebonypass_core::tenant::TenantId;
+use ebonypass_core::time::Span;
 use ebonypass_node::clock;
 use ebonypass_platform::header::{self, RequestMetadata};
 use futures_lite::future;
@@ -17,7 +16,8 @@
 use hyper::http::request::Parts;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Job, MatchedRoute};
+use super::access::{Access, Rejection, take_quota};
+use super::{InFlightGuard, Job, MatchedRoute};
 use crate::budget::Reservation;
 use crate::gateway::{Gateway, Phase};
 
@@ -28,27 +28,38 @@
 /// read within a second.
 const MAX_BODY_WAIT: Span = Span::from_millis(500);
 
-/// Reads a request and matches it to a route.
+/// Reads a request and matches it to a route and a tenant.
 pub(super) async fn read_request(
-    gateway: &Rc<Gateway>,
+    in_flight: &mut InFlightGuard,
     metadata: Result<RequestMetadata, header::Error>,
     parts: Parts,
     body: Incoming,
-    arrived: Instant,
-) -> Result<Job, Reason> {
+) -> Result<Job, Rejection> {
+    let (gateway, arrived) = (in_flight.gateway.clone(), in_flight.arrived);
+    let gateway = &gateway;
     let metadata = metadata.map_err(|_| Reason::HeadMalformed)?;
     if gateway.phase.get() >= Phase::Refusing {
-        return Err(Reason::Stopping);
+        return Err(Reason::Stopping.into());
     }
-    let route = resolve_route(gateway, &parts, &metadata)?;
+    let (route, access, tenant) = resolve_route(gateway, &parts, &metadata)?;
     let time_left = metadata
         .time_left
         .map_or(route.timeout, |left| (left - DEADLINE_MARGIN).min(route.timeout));
     let deadline = arrived + time_left;
+    in_flight.tenant = access.owner.as_ref().map(|owner| owner.name.clone());
+    if let Some(tenant) = tenant {
+        take_quota(gateway, tenant, deadline).await.map_err(|wait| Rejection {
+            reason: Reason::AllotmentExhausted,
+            retry_after: Some(wait),
+        })?;
+    }
+    in_flight.count_arrival();
+    let now = clock::now();
+    gateway.state().retry_budget(now, &gateway.settings, route.service).record_request(now);
     let limit = gateway.state().limits.body_bytes;
     let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if stated > limit {
-        return Err(Reason::BodyTooLarge);
+        return Err(Reason::BodyTooLarge.into());
     }
     let timer = async {
         gateway.wait_for_deadline(deadline).await;
@@ -61,9 +72,10 @@
     };
     let (body, reservation) = future::or(body, timer).await?;
     if gateway.phase.get() >= Phase::Refusing {
-        return Err(Reason::Stopping);
+        return Err(Reason::Stopping.into());
     }
-    let headers = header::end_to_end_headers(&parts.headers);
+    let mut headers = header::end_to_end_headers(&parts.headers);
+    access.set_headers(&mut headers);
     let (method, uri) = (parts.method, parts.uri);
     Ok(Job {
         metadata,
@@ -73,6 +85,7 @@
         body,
         _reservation: reservation,
         route,
+        access,
         arrived,
         deadline,
     })
@@ -106,7 +119,7 @@
     gateway: &Gateway,
     parts: &Parts,
     metadata: &RequestMetadata,
-) -> Result<MatchedRoute, Reason> {
+) -> Result<(MatchedRoute, Access, Option<TenantId>), Reason> {
     let host = parts.headers.get(http_header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or(parts.uri.host()).ok_or(Reason::HeadMalformed)?;
     let host = host.split(':').next().unwrap_or(host);
@@ -115,7 +128,12 @@
         return Err(Reason::NoPolicy);
     }
     let version = state.version;
-    let entry = state.route_table.find(host, parts.uri.path()).ok_or(Reason::UnknownService)?;
+    let path = parts.uri.path();
+    let entry = state.route_table.find(host, path).ok_or(Reason::UnknownService)?;
+    let is_public = entry.route.is_public;
+    let (access, tenant) = Access::new(&state, &parts.headers, is_public)?;
+    // Requests without a key do not take part in the split between services.
+    let entry = state.route_table.find(host, path).ok_or(Reason::UnknownService)?;
     let service_name = entry.next_service().to_owned();
     let route = &entry.route;
     let object = metadata.affinity_key.as_ref().filter(|_| route.has_affinity);
@@ -125,6 +143,8 @@
         service: ServiceId(0),
         service_name,
         idempotent: route.idempotent,
+        is_public,
+        priority: route.priority,
         attempt_limit: route.attempt_limit,
         latency_objective: route.latency_objective,
         allowed_regions: RegionSet::ANY,
@@ -134,7 +154,5 @@
     let allowed_regions = route.allowed_regions.clone();
     matched.allowed_regions = state.balancer.region_set(&allowed_regions);
     matched.service = state.balancer.service_id(&matched.service_name);
-    let now = clock::now();
-    state.retry_budget(now, &gateway.settings, matched.service).record_request(now);
-    Ok(matched)
+    Ok((matched, access, tenant))
 }
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use ebonypass_core::availability::Update;
+use ebonypass_core::tenant;
 use ebonypass_core::time::Span;
 use ebonypass_node::clock;
 use ebonypass_node::event::Event;
@@ -18,6 +19,8 @@
 
 /// Targets of one update that are logged one by one, at most.
 const MAX_TARGET_LINES: usize = 50;
+/// Faults of tenants that are logged one by one for each version, at most.
+const MAX_FAULT_LINES: usize = 50;
 /// Target entries that expired during a store outage are registered again within about 2 s of its
 /// end. A target is removed if it is still unlisted once some machine has reached the store for
 /// this long.
@@ -67,9 +70,36 @@
         }
         state.route_table = ebonypass_core::route::Table::new(config.routes);
         let routes = state.route_table.len();
+        let mut fields = json!({ "version": config.version, "before": previous, "routes": routes });
+        let is_region = |name: &str| self.settings.regions.values().any(|region| region == name);
+        let mut faults = Vec::new();
+        state.tenants = config.tenants.map(|entries| {
+            let (table, found) = tenant::Table::new(entries, is_region);
+            fields["tenants"] = table.len().into();
+            faults = found;
+            table
+        });
         drop(state);
-        let fields = json!({ "version": config.version, "before": previous, "routes": routes });
         self.log.record(Event::PolicyApplied, fields);
+        self.record_tenant_faults(config.version, &faults);
+    }
+
+    /// Logs faults of tenants, without their keys.
+    fn record_tenant_faults(&self, version: u64, faults: &[tenant::Fault]) {
+        self.metrics.tenant_faults.set(faults.len() as i64);
+        for fault in faults.iter().take(MAX_FAULT_LINES) {
+            let fields = json!({
+                "version": version,
+                "tenant": fault.tenant,
+                "row": fault.row,
+                "error": fault.defect.message(),
+            });
+            self.log.record(Event::TenantFaulty, fields);
+        }
+        if let Some(rest @ 1..) = faults.len().checked_sub(MAX_FAULT_LINES) {
+            let fields = json!({ "version": version, "unlisted": rest });
+            self.log.record(Event::TenantFaulty, fields);
+        }
     }
 
     fn apply_evacuations(&self) {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -75,6 +75,8 @@
     SourceChanged = 207 Info "source of objects changed",
     /// A target's entry is older than what is known of the target, and was ignored.
     EntryOutdated = 208 Info "outdated entry ignored",
+    /// An entry of a tenant is not in force, or not as a whole.
+    TenantFaulty = 220 Warn "tenant entry faulty",
 
     /// Certificate and key were reloaded.
     CertificateLoaded = 300 Info "certificate loaded",
