--- a/crates/core/src/availability.rs
+++ b/crates/core/src/availability.rs
@@ -135,6 +135,23 @@
         Update::Applied
     }
 
+    /// Records an entry of the first list after the registry was restored from an older snapshot. It
+    /// counts only if it is later than what is known; one that states no start may be of an earlier
+    /// lifetime. A live target checks in again soon, and its new entry counts as usual.
+    pub fn record_restored_entry(&mut self, now: Instant, entry: Entry) -> Update {
+        let has_starts =
+            entry.lifetime.start_unix_ms.is_some() && self.lifetime.start_unix_ms.is_some();
+        match entry.lifetime.order_after(self.lifetime) {
+            Order::Later if has_starts => self.record_entry(now, entry),
+            Order::Same if entry.sequence > self.sequence => self.record_entry(now, entry),
+            Order::Same => {
+                self.is_leaving |= entry.is_leaving;
+                Update::Outdated
+            }
+            Order::Earlier | Order::Later => Update::Outdated,
+        }
+    }
+
     /// Whether an entry that states no start is of a later lifetime: its count of check-ins has
     /// started anew. It is taken for a late check-in if the listed target is leaving.
     fn has_restarted(&self, entry: Entry) -> bool {
--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -13,7 +13,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::availability::{self, Availability, Lifetime, State, Update};
+use crate::availability::{self, Availability, Entry, Lifetime, State, Update};
 use crate::capacity;
 use crate::id::{Arena, ServiceId, TargetId};
 pub use crate::target::{Load, Outcome, Target, TargetSpec};
@@ -301,12 +301,27 @@
 
     /// Adds a target or updates its registry entry. Returns its id and what the entry changed.
     pub fn upsert_target(&mut self, now: Instant, spec: TargetSpec) -> (TargetId, Update) {
+        self.upsert(now, spec, Availability::record_entry)
+    }
+
+    /// Like [`Balancer::upsert_target`], for an entry of the first list after the registry was
+    /// restored from an older snapshot.
+    pub fn upsert_restored_target(&mut self, now: Instant, spec: TargetSpec) -> (TargetId, Update) {
+        self.upsert(now, spec, Availability::record_restored_entry)
+    }
+
+    fn upsert(
+        &mut self,
+        now: Instant,
+        spec: TargetSpec,
+        record: impl Fn(&mut Availability, Instant, Entry) -> Update,
+    ) -> (TargetId, Update) {
         let service = self.service_id(&spec.service);
         let Some(&id) = self.targets_by_name.get(&spec.id) else {
             return (self.insert_target(now, service, spec), Update::Restarted);
         };
         let target = &mut self.targets[id];
-        let update = target.availability.record_entry(now, spec.entry());
+        let update = record(&mut target.availability, now, spec.entry());
         if update == Update::Outdated {
             return (id, update);
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod capacity;
 pub mod directory;
 mod dispatch;
+pub mod era;
+pub mod evacuation;
 pub mod fault;
 mod field;
 pub mod format;
