--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,6 +8,8 @@
 
 use ebonypass_core::balancer::{self, Balancer};
 use ebonypass_core::directory;
+use ebonypass_core::era;
+use ebonypass_core::evacuation::Evacuations;
 use ebonypass_core::gossip::{Heartbeat, Membership, Peer};
 use ebonypass_core::id::ServiceId;
 use ebonypass_core::relay::Contact;
@@ -27,6 +29,7 @@
 use crate::mirror::Mirror;
 use crate::pool::Pool;
 use crate::settings::Settings;
+use crate::sync::Hold;
 
 /// Fraction of the fleet's retry allowance that is used. The rest covers machines that restarted
 /// and lost count of the retries they sent.
@@ -67,6 +70,12 @@
     /// Targets that the store no longer lists. Their entries may have expired during a store
     /// outage, so they are not removed at once.
     pub unlisted: HashSet<String>,
+    /// The era of the store that this machine follows.
+    pub era: era::Tracker,
+    /// Targets that a restored store has lost.
+    pub hold: Hold,
+    /// Evacuated data centres.
+    pub evacuations: Evacuations,
     retry_budgets: HashMap<ServiceId, RetryBudget>,
 }
 
@@ -103,6 +112,8 @@
     pub cutoff_set: Signal,
     /// Notified when a mirror changes or becomes stale.
     pub mirror_changed: Signal,
+    /// When the next ignored reply is logged.
+    pub next_ignored_line: Cell<Instant>,
     state: RefCell<State>,
 }
 
@@ -138,6 +149,9 @@
             membership: Membership::new(clock::now(), own),
             mirrors: HashMap::new(),
             unlisted: HashSet::new(),
+            era: era::Tracker::default(),
+            hold: Hold::default(),
+            evacuations: Evacuations::default(),
             retry_budgets: HashMap::new(),
         };
         Rc::new(Gateway {
@@ -154,6 +168,7 @@
             cutoff: Cell::new(Instant::MAX),
             cutoff_set: Signal::new(),
             mirror_changed: Signal::new(),
+            next_ignored_line: Cell::new(Instant::ZERO),
             state: RefCell::new(state),
             executor,
             settings,
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -56,6 +56,13 @@
     pub kind: &'static str,
 }
 
+/// Labels of a source of objects.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SourceLabels {
+    /// `store` or `machine`.
+    pub source: &'static str,
+}
+
 /// Labels of a route.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RouteLabels {
@@ -89,6 +96,14 @@
     pub copy_age: Family<KindLabels, Gauge<f64, AtomicU64>>,
     /// Machines between this one and the store.
     pub copy_hops: Family<KindLabels, Gauge>,
+    /// Era of the store that this machine follows.
+    pub era: Gauge,
+    /// Changes of the era.
+    pub era_changes: Counter,
+    /// Replies of an earlier era that were ignored.
+    pub ignored_replies: Family<SourceLabels, Counter>,
+    /// Targets that are in use although the restored store does not list them.
+    pub held_targets: Gauge,
     /// 1 if lookups of this machine's region return it.
     pub is_entry: Gauge,
     /// Requests in flight.
@@ -117,6 +132,10 @@
             machines: Gauge::default(),
             copy_age: Family::default(),
             copy_hops: Family::default(),
+            era: Gauge::default(),
+            era_changes: Counter::default(),
+            ignored_replies: Family::default(),
+            held_targets: Gauge::default(),
             is_entry: Gauge::default(),
             in_flight: Gauge::default(),
             connections: Gauge::default(),
@@ -157,6 +176,22 @@
             "Machines between this one and the store",
             metrics.copy_hops.clone(),
         );
+        registry.register("store_era", "Era of the store that is followed", metrics.era.clone());
+        registry.register(
+            "store_era_changes",
+            "Changes of the followed era of the store",
+            metrics.era_changes.clone(),
+        );
+        registry.register(
+            "ignored_replies",
+            "Replies of an earlier era of the store that were ignored",
+            metrics.ignored_replies.clone(),
+        );
+        registry.register(
+            "held_targets",
+            "Targets in use although the restored store does not list them",
+            metrics.held_targets.clone(),
+        );
         registry.register(
             "entry",
             "Whether lookups of this region return this machine",
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use ebonypass_core::era::{Era, Stamp};
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_platform::object::{self, Object};
 
@@ -48,6 +49,8 @@
 #[derive(Debug, Default)]
 pub struct Mirror {
     entries: BTreeMap<String, Entry>,
+    /// Era of the store in which all revisions of the copy were assigned.
+    era: Era,
     revision: u64,
     /// When the copy was last known to be current.
     current_at: Option<Instant>,
@@ -71,6 +74,17 @@
         self.revision
     }
 
+    /// The era and revision of the store that the copy reflects.
+    pub fn stamp(&self) -> Stamp {
+        Stamp::new(self.era, self.revision)
+    }
+
+    /// Whether the copy is of an earlier era of the store than `stamp`, or of one that the store
+    /// has left.
+    pub fn is_other_era(&self, stamp: Stamp) -> bool {
+        self.revision > 0 && self.era != stamp.era
+    }
+
     /// The objects in the order of their names.
     pub fn objects(&self) -> impl Iterator<Item = &Object> {
         self.entries.values().map(|entry| &*entry.object)
@@ -112,12 +126,16 @@
         self.current_at.map_or(Span::MAX, |at| now.since(at))
     }
 
-    /// Whether there are changes after `known_revision`.
-    pub fn has_changes_since(&self, known_revision: u64) -> bool {
-        known_revision < self.compacted_revision || known_revision < self.changed_revision
+    /// Whether there are changes after `known`.
+    pub fn has_changes_since(&self, known: impl Into<Stamp>) -> bool {
+        let known = known.into();
+        known.era != self.era
+            || known.revision < self.compacted_revision
+            || known.revision < self.changed_revision
     }
 
-    /// Applies changes, each an object and whether it was deleted, that lead to `revision`.
+    /// Applies changes, each an object and whether it was deleted, that lead to `revision` of the
+    /// copy's era.
     pub fn apply(&mut self, revision: u64, changes: impl IntoIterator<Item = (Rc<Object>, bool)>) {
         for (object, is_deleted) in changes {
             self.record(revision, object, is_deleted);
@@ -150,8 +168,17 @@
         self.deletions.push_back(Deletion { object, revision });
     }
 
-    /// Replaces all objects by those of a list, and records the difference as changes.
-    pub fn replace(&mut self, revision: u64, objects: BTreeMap<String, Object>) -> Difference {
+    /// Replaces all objects by those of a list, and records the difference as changes. If the list
+    /// is of another era, machines that poll this one need the whole list: the revisions of the
+    /// changes before it have been assigned again.
+    pub fn replace(
+        &mut self,
+        stamp: impl Into<Stamp>,
+        objects: BTreeMap<String, Object>,
+    ) -> Difference {
+        let stamp = stamp.into();
+        let revision = stamp.revision;
+        let is_other_era = self.is_other_era(stamp);
         let gone = self.entries.iter().filter(|(name, _)| !objects.contains_key(*name));
         let removed: Vec<Rc<Object>> = gone.map(|(_, entry)| entry.object.clone()).collect();
         let differs = |object: &Object| {
@@ -169,13 +196,22 @@
             // What was deleted before the first list is unknown.
             self.compacted_revision = revision;
         }
+        if is_other_era {
+            self.compacted_revision = revision;
+            self.changed_revision = revision;
+            self.deletions.clear();
+            self.entries.values_mut().for_each(|entry| entry.revision = revision);
+        }
+        self.era = stamp.era;
         self.set_revision(revision);
         Difference { changed, removed }
     }
 
-    /// Encodes the changes after `known_revision`, or the full list if those are no longer all
-    /// kept.
-    pub fn encode_since(&mut self, known_revision: u64) -> Bytes {
+    /// Encodes the changes after `known`, or the full list if those are no longer all kept.
+    pub fn encode_since(&mut self, known: impl Into<Stamp>) -> Bytes {
+        let known = known.into();
+        // The changes since a revision of another era are unknown, as those since the beginning.
+        let known_revision = if known.era == self.era { known.revision } else { 0 };
         let known = self.encoded.iter().find(|(known, _)| *known == known_revision);
         if let Some((_, bytes)) = known {
             return bytes.clone();
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ebonypass_core::era::{Era, Stamp};
 use ebonypass_core::gossip::Peer;
 use ebonypass_core::relay::{Fault, Selector, Step, View};
 use ebonypass_core::time::{Instant, Span};
@@ -21,18 +22,21 @@
 use crate::gateway::Gateway;
 use crate::listener::empty_reply;
 use crate::store::{Client, Error};
+use crate::sync::Source;
 
 /// How long a poll waits for newer objects.
 const POLL_WAIT: Span = Span::from_millis(500);
 /// Timeout of a poll. Short enough to detect an unresponsive peer and still call the store well
 /// within the 2.5 s after which a leaving target must get no more requests.
 const POLL_TIMEOUT: Duration = Duration::from_millis(850);
-/// Path of a poll: this prefix, the kind's label, `/` and the known revision.
+/// Path of a poll: this prefix, the kind's label, `/` and the stamp of the known copy.
 const PATH_PREFIX: &str = "/mirror/";
 /// Milliseconds for which the copy of the machine that replies has not been known to be current.
 const COPY_AGE: HeaderName = HeaderName::from_static("copy-age-ms");
 /// Machines between the machine that replies and the store.
 const COPY_HOPS: HeaderName = HeaderName::from_static("copy-hops");
+/// Era of the store that the copy of the machine that replies reflects; not sent for era 0.
+const COPY_ERA: HeaderName = HeaderName::from_static("copy-era");
 
 /// Status of the reply of a machine that has no copy yet.
 const NO_COPY_YET: StatusCode = StatusCode::TOO_EARLY;
@@ -40,16 +44,16 @@
 /// Query of a poll that is answered at once: the copy of the peer may not be current.
 const NO_WAIT_QUERY: &str = "now";
 
-/// Answers a peer's poll (long poll): replies once objects are newer than the peer's revision.
+/// Answers a peer's poll (long poll): replies once objects are newer than the peer's copy.
 pub async fn handle_poll(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
-    let Some((kind, known_revision)) = scan_path(request.uri().path()) else {
+    let Some((kind, known)) = scan_path(request.uri().path()) else {
         return empty_reply(StatusCode::NOT_FOUND);
     };
     let may_wait = request.uri().query() != Some(NO_WAIT_QUERY);
     let deadline = clock::now() + if may_wait { POLL_WAIT } else { Span::ZERO };
     loop {
         let changed = gateway.mirror_changed.listen();
-        let wait_until = match poll_reply(&gateway, kind, known_revision, deadline) {
+        let wait_until = match poll_reply(&gateway, kind, known, deadline) {
             Ok(response) => return response,
             Err(wait_until) => wait_until,
         };
@@ -61,38 +65,47 @@
 fn poll_reply(
     gateway: &Gateway,
     kind: Kind,
-    known_revision: u64,
+    known: Stamp,
     deadline: Instant,
 ) -> Result<Response<Body>, Instant> {
     let now = clock::now();
     let mut state = gateway.state();
+    let era = state.era.era();
     let mirror = state.mirrors.entry(kind).or_default();
     if mirror.revision() == 0 {
         // A machine that has just started may get a copy soon.
         return if now < deadline { Err(deadline) } else { Ok(empty_reply(NO_COPY_YET)) };
     }
+    if mirror.stamp().era != era {
+        // This machine knows that the store was restored, and reads its list now.
+        let reply = empty_reply(StatusCode::SERVICE_UNAVAILABLE);
+        return if now < deadline { Err(deadline) } else { Ok(reply) };
+    }
     if now >= mirror.expires_at() {
         return Ok(empty_reply(StatusCode::SERVICE_UNAVAILABLE));
     }
-    let is_newer = mirror.revision() > known_revision;
-    let mut response = if mirror.has_changes_since(known_revision) && is_newer {
-        Response::new(Body::whole(mirror.encode_since(known_revision)))
-    } else if now < deadline {
+    let is_newer = mirror.stamp() > known;
+    let mut response = if mirror.has_changes_since(known) && is_newer {
+        Response::new(Body::whole(mirror.encode_since(known)))
+    } else if known.era <= era && now < deadline {
         return Err(deadline.min(mirror.expires_at()));
     } else if is_newer {
-        Response::new(Body::whole(mirror.encode_since(known_revision)))
+        Response::new(Body::whole(mirror.encode_since(known)))
     } else {
         empty_reply(StatusCode::NO_CONTENT)
     };
     let headers = response.headers_mut();
     headers.insert(COPY_AGE, HeaderValue::from(mirror.age(now).as_millis()));
     headers.insert(COPY_HOPS, HeaderValue::from(u16::from(mirror.hops())));
+    if era != Era::default() {
+        headers.insert(COPY_ERA, HeaderValue::from(era.number()));
+    }
     Ok(response)
 }
 
-fn scan_path(path: &str) -> Option<(Kind, u64)> {
-    let (label, revision) = path.strip_prefix(PATH_PREFIX)?.split_once('/')?;
-    Some((Kind::from_label(label)?, revision.parse().ok()?))
+fn scan_path(path: &str) -> Option<(Kind, Stamp)> {
+    let (label, stamp) = path.strip_prefix(PATH_PREFIX)?.split_once('/')?;
+    Some((Kind::from_label(label)?, stamp.parse().ok()?))
 }
 
 /// Polls peers for the objects of one kind.
@@ -111,22 +124,23 @@
     /// Polls the machine at `address` for newer objects and applies them. Returns the age of its
     /// copy and the number of machines between it and the store.
     ///
-    /// Errors: the peer did not answer or has no current copy.
+    /// Errors: the peer did not answer, or has no current copy of the era that this machine follows.
     pub async fn poll(&mut self, gateway: &Rc<Gateway>, address: IpAddr) -> Result<Origin, Error> {
         let peer = SocketAddr::new(address, gateway.settings.listen.mesh_port);
         let client = match self.client.take() {
             Some(client) if client.address() == peer => client,
             _ => Client::new(gateway.executor.clone(), peer),
         };
-        let revision = gateway.revision(self.kind);
-        let mut path = format!("{PATH_PREFIX}{}/{revision}", self.kind.label());
-        if revision > 0 && gateway.is_stale(self.kind) {
+        let known = gateway.known_stamp(self.kind);
+        let mut path = format!("{PATH_PREFIX}{}/{known}", self.kind.label());
+        if known.revision > 0 && gateway.is_stale(self.kind) {
             path = format!("{path}?{NO_WAIT_QUERY}");
         }
-        let reply = client.call(Method::GET, &path, Vec::new(), POLL_TIMEOUT).await?;
+        let reply = client.call(Method::GET, &path, Vec::new(), POLL_TIMEOUT).await.result?;
         let origin = scan_origin(reply.headers());
         let origin = origin.ok_or_else(|| Error::NoReply("the reply states no age".to_owned()))?;
-        apply_reply(gateway, self.kind, reply.body())?;
+        gateway.check_era(origin.era, Source::Peer(address))?;
+        apply_reply(gateway, self.kind, known, origin.era, reply.body())?;
         self.client = Some(client);
         Ok(origin)
     }
@@ -139,19 +153,23 @@
     pub age: Span,
     /// Machines between the peer and the store.
     pub hops: u8,
+    /// Era of the store that the copy reflects.
+    pub era: Era,
 }
 
 fn scan_origin(headers: &HeaderMap) -> Option<Origin> {
     let number = |name: HeaderName| headers.get(name)?.to_str().ok()?.parse::<u64>().ok();
     let hops = u8::try_from(number(COPY_HOPS)?).ok()?;
-    Some(Origin { age: Span::from_millis(number(COPY_AGE)?), hops })
+    let era = if headers.contains_key(COPY_ERA) { number(COPY_ERA)? } else { 0 };
+    let age = Span::from_millis(number(COPY_AGE)?);
+    Some(Origin { age, hops, era: Era::new(era) })
 }
 
 /// The fault of a peer whose poll failed.
 pub fn fault(error: &Error) -> Fault {
     match error {
         Error::Refused(NO_COPY_YET) => Fault::Empty,
-        Error::Refused(_) => Fault::Stale,
+        Error::Refused(_) | Error::Outdated(_) => Fault::Stale,
         _ => Fault::Unreachable,
     }
 }
@@ -168,18 +186,25 @@
     selector.next_step(now, &View { own, region: &region, elsewhere: &elsewhere })
 }
 
-/// Applies a peer's reply; an empty one means that nothing is newer.
-fn apply_reply(gateway: &Gateway, kind: Kind, bytes: &[u8]) -> Result<(), Error> {
+/// Applies a peer's reply; an empty one means that nothing is newer than `known`.
+fn apply_reply(
+    gateway: &Gateway,
+    kind: Kind,
+    known: Stamp,
+    era: Era,
+    bytes: &[u8],
+) -> Result<(), Error> {
     if bytes.is_empty() {
-        return Ok(());
+        // A copy of another era is not confirmed by it.
+        let is_confirmed = known.revision > 0 && known.era == era;
+        return if is_confirmed { Ok(()) } else { Err(Error::Outdated(era)) };
     }
     if let Some(changes) = object::scan_changes(bytes) {
-        gateway.apply_changes(kind, changes.events, changes.revision);
-        return Ok(());
+        let stamp = Stamp::new(era, changes.revision);
+        return gateway.apply_changes(kind, changes.events, stamp);
     }
     let page = object::scan_page(bytes);
     let page = page.ok_or_else(|| Error::NoReply("cannot decode the peer's reply".to_owned()))?;
     let objects = page.objects.into_iter().map(|object| (object.metadata.name.clone(), object));
-    gateway.replace_objects(kind, objects.collect(), page.revision);
-    Ok(())
+    gateway.replace_objects(kind, objects.collect(), Stamp::new(era, page.revision))
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use ebonypass_core::era::Era;
 use ebonypass_core::time::Span;
 use ebonypass_node::clock;
 use ebonypass_node::event::Event;
@@ -127,6 +128,7 @@
         .spawn(async move {
             loop {
                 Timer::after(HOUSEKEEPING_INTERVAL).await;
+                housekeeper.end_holds();
                 housekeeper.drop_unlisted();
                 housekeeper.pool.close_expired();
             }
@@ -137,8 +139,8 @@
 }
 
 /// Makes this machine known to the fleet: contacts the seeds, registers in the store's list of
-/// machines once the store answers it, and reads that list while it has no live peer. A machine
-/// without peers always watches the store itself and so is listed there, which lets separated
+/// machines once the store answers it, and reads that list while it has no live peer. A restored
+/// store may have lost the entry, which is then written again. A machine without peers always watches the store itself and so is listed there, which lets separated
 /// groups find each other.
 async fn join_fleet(gateway: &Rc<Gateway>, gossip: &Gossip) {
     let client = Client::new(gateway.executor.clone(), gateway.settings.store.address);
@@ -147,14 +149,22 @@
     // Seeds that have just started themselves know more by then.
     clock::sleep(SEED_REPEAT_DELAY).await;
     gossip.request_heartbeats(seeds).await;
-    let mut is_registered = false;
+    let mut registered_era = None;
     let mut interval = MIN_DISCOVERY_INTERVAL;
     loop {
-        if !is_registered && gateway.reaches_store() {
-            is_registered = register_machine(gateway, &client).await;
+        if registered_era.is_some_and(|era| era != gateway.era()) {
+            // No other machine writes the entry, so this one does even if it polls a peer by now.
+            let era = register_machine(gateway, &client).await;
+            interval = match era {
+                Some(_) => MIN_DISCOVERY_INTERVAL,
+                None => interval.times(2).min(MAX_DISCOVERY_INTERVAL),
+            };
+            registered_era = era.or(registered_era);
+        } else if registered_era.is_none() && gateway.reaches_store() {
+            registered_era = register_machine(gateway, &client).await;
         }
         let is_alone = gateway.state().membership.live_peers(clock::now()).next().is_none();
-        if is_registered && is_alone {
+        if registered_era.is_some() && is_alone {
             discover_machines(gateway, gossip, &client).await;
             interval = interval.times(2).min(MAX_DISCOVERY_INTERVAL);
         }
@@ -162,18 +172,20 @@
     }
 }
 
-/// Adds this machine to the store's list of machines. Returns whether it is listed.
-async fn register_machine(gateway: &Gateway, client: &Client) -> bool {
+/// Adds this machine to the store's list of machines. Returns the era in which it is listed.
+async fn register_machine(gateway: &Gateway, client: &Client) -> Option<Era> {
     let name = gateway.settings.name.as_str();
     let body = object::encode_new_object(name, registry::machine_spec(gateway.settings.address));
     let path = object::list_path(Kind::Machine, None);
-    match client.call(Method::POST, &path, body, REGISTRATION_TIMEOUT).await {
+    let reply = client.call(Method::POST, &path, body, REGISTRATION_TIMEOUT).await;
+    let era = reply.era;
+    match gateway.check_reply(reply) {
         // A conflict is with this machine's own entry, from an earlier process or a call whose
         // reply was lost. The address is the same.
-        Ok(_) | Err(Error::Conflict) => true,
+        Ok(_) | Err(Error::Conflict) => era,
         Err(error) => {
             record_store_error(gateway, &error);
-            false
+            None
         }
     }
 }
@@ -181,8 +193,9 @@
 /// Contacts all machines of the store's list.
 async fn discover_machines(gateway: &Gateway, gossip: &Gossip, client: &Client) {
     let path = object::list_path(Kind::Machine, None);
-    match client.call(Method::GET, &path, Vec::new(), REGISTRATION_TIMEOUT).await {
-        Ok(reply) => {
+    let reply = client.call(Method::GET, &path, Vec::new(), REGISTRATION_TIMEOUT).await;
+    match gateway.check_reply(reply) {
+        Ok((_, reply)) => {
             let page = object::scan_page(reply.body());
             let objects = page.map(|page| page.objects).unwrap_or_default();
             gossip
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ebonypass_core::era::Era;
+use ebonypass_platform::object;
 use futures_lite::future;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, Response, StatusCode, header};
@@ -32,6 +34,8 @@
     HistoryGone,
     /// The object exists already, has changed, or does not exist.
     Conflict,
+    /// The reply is of an earlier era of the store than the one that this machine follows.
+    Outdated(Era),
 }
 
 impl std::fmt::Display for Error {
@@ -41,10 +45,28 @@
             Error::Refused(status) => write!(f, "status {status}"),
             Error::HistoryGone => f.write_str("the requested revision is no longer in the history"),
             Error::Conflict => f.write_str("conflict"),
+            Error::Outdated(era) => write!(f, "reply of the earlier era {era}"),
         }
     }
 }
 
+/// How a call ended.
+#[derive(Debug)]
+pub struct Reply {
+    /// The era that the store stated; era 0 if none. None without an answer about objects: the
+    /// status of an overloaded store or of something in front of it says nothing of the era. Not
+    /// meaningful for a peer, which states the era of its copy instead.
+    pub era: Option<Era>,
+    /// The response, or why there is none.
+    pub result: Result<Response<Bytes>, Error>,
+}
+
+impl Reply {
+    fn failed(error: Error) -> Reply {
+        Reply { era: None, result: Err(error) }
+    }
+}
+
 /// A client with one connection; calls must not overlap.
 #[derive(Debug)]
 pub struct Client {
@@ -66,7 +88,7 @@
 
     /// Makes a call and returns the reply.
     ///
-    /// Errors: no reply within `timeout`, after which a write may or may not have been applied, or
+    /// Errors in the reply: none within `timeout`, after which a write may or may not have been applied, or
     /// a status other than success.
     pub async fn call(
         &self,
@@ -74,17 +96,20 @@
         path: &str,
         body: Vec<u8>,
         timeout: Duration,
-    ) -> Result<Response<Bytes>, Error> {
+    ) -> Reply {
         let timer = async {
             Timer::after(timeout).await;
             Err(Error::NoReply("timeout".to_owned()))
         };
         // Taken out for the call: a connection whose reply did not arrive must not be reused.
         let connection = self.connection.borrow_mut().take();
-        let (connection, result) =
-            future::or(self.send_request(connection, method, path, body), timer).await?;
-        *self.connection.borrow_mut() = Some(connection);
-        result
+        match future::or(self.send_request(connection, method, path, body), timer).await {
+            Ok((connection, reply)) => {
+                *self.connection.borrow_mut() = Some(connection);
+                reply
+            }
+            Err(error) => Reply::failed(error),
+        }
     }
 
     async fn send_request(
@@ -93,7 +118,7 @@
         method: Method,
         path: &str,
         body: Vec<u8>,
-    ) -> Result<(Connection, Result<Response<Bytes>, Error>), Error> {
+    ) -> Result<(Connection, Reply), Error> {
         let reusable = match connection {
             Some(mut connection) => connection.is_ready().await.then_some(connection),
             None => None,
@@ -118,12 +143,17 @@
         let (head, body) = reply.into_parts();
         let body = Limited::new(body, MAX_REPLY_BYTES).collect().await;
         let body = body.map_err(|error| Error::NoReply(error.to_string()))?.to_bytes();
+        let era = object::scan_era(&head.headers);
         let result = match head.status {
             status if status.is_success() => Ok(Response::from_parts(head, body)),
             StatusCode::GONE => Err(Error::HistoryGone),
             StatusCode::CONFLICT | StatusCode::NOT_FOUND => Err(Error::Conflict),
-            status => Err(Error::Refused(status)),
+            status => return Ok((connection, Reply::failed(Error::Refused(status)))),
+        };
+        let reply = match era {
+            Some(_) => Reply { era, result },
+            None => Reply::failed(Error::NoReply("cannot decode the era".to_owned())),
         };
-        Ok((connection, result))
+        Ok((connection, reply))
     }
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -1,6 +1,7 @@
 //! Keeps the local copy of the store's objects current, and applies changes to the gateway's state.
 
 mod apply;
+mod era;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::IpAddr;
@@ -8,12 +9,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ebonypass_core::era::{Era, Stamp};
 use ebonypass_core::relay::{self, Contact, Fault, Selector, Step};
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_node::clock;
 use ebonypass_node::event::Event;
 use ebonypass_platform::object::{self, Kind, Object};
-use hyper::{Method, Response};
+use hyper::Method;
 use serde_json::json;
 
 use crate::gateway::Gateway;
@@ -22,6 +24,8 @@
 use crate::replication::{Poller, fault, next_step};
 use crate::store::{Client, Error};
 
+pub use era::Hold;
+
 /// Timeout of a list call.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long a watch call waits for changes. With the margin below it bounds the time to detect an
@@ -37,6 +41,8 @@
 const BATCH_DELAY: Span = Span::from_millis(250);
 /// Time between two checks for a machine to poll.
 const POLL_INTERVAL: Span = Span::from_millis(100);
+/// A list whose pages are of different eras is read again, this often in one call.
+const MAX_LIST_STARTS: usize = 3;
 /// Delay before a full list is read because the store no longer has the history.
 const RELIST_DELAY: Span = Span::from_millis(20);
 
@@ -57,11 +63,29 @@
 
 /// Where an update came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Source {
+pub enum Source {
+    /// The store.
     Store,
+    /// The machine at this address.
     Peer(IpAddr),
 }
 
+impl Source {
+    fn name(self) -> String {
+        match self {
+            Source::Store => "store".to_owned(),
+            Source::Peer(address) => address.to_string(),
+        }
+    }
+
+    const fn label(self) -> &'static str {
+        match self {
+            Source::Store => "store",
+            Source::Peer(_) => "machine",
+        }
+    }
+}
+
 impl Synchronizer {
     /// Creates a synchronizer for `kind`.
     pub fn new(gateway: &Rc<Gateway>, kind: Kind) -> Synchronizer {
@@ -100,7 +124,8 @@
 
     /// Calls the store once.
     async fn sync_with_store(&mut self) {
-        let is_known = self.gateway.revision(self.kind) > 0;
+        // The changes since a revision of another era are unknown: its number is assigned again.
+        let is_known = self.gateway.known_stamp(self.kind).revision > 0;
         let start = clock::now();
         let mut result = if is_known { self.watch().await } else { self.list().await };
         if let Err(Error::HistoryGone) = result {
@@ -154,17 +179,15 @@
         if self.source.replace(source) == Some(source) {
             return;
         }
-        let name = match source {
-            Source::Store => "store".to_owned(),
-            Source::Peer(address) => address.to_string(),
-        };
         let revision = self.gateway.revision(self.kind);
-        let fields = json!({ "kind": self.kind.label(), "source": name, "hops": hops, "revision": revision });
+        let fields = json!({ "kind": self.kind.label(), "source": source.name(), "hops": hops, "revision": revision });
         self.gateway.log.record(Event::SourceChanged, fields);
     }
 
-    async fn get(&mut self, path: &str, timeout: Duration) -> Result<Bytes, Error> {
-        let result = self.client.call(Method::GET, path, Vec::new(), timeout).await;
+    /// Calls the store and returns the era and the body of its reply.
+    async fn get(&mut self, path: &str, timeout: Duration) -> Result<(Era, Bytes), Error> {
+        let reply = self.client.call(Method::GET, path, Vec::new(), timeout).await;
+        let result = self.gateway.check_reply(reply);
         let label = match &result {
             Ok(_) => "ok",
             Err(Error::NoReply(_)) => "silent",
@@ -172,10 +195,11 @@
             Err(Error::Refused(_)) => "refused",
             Err(Error::HistoryGone) => "gone",
             Err(Error::Conflict) => "conflict",
+            Err(Error::Outdated(_)) => "outdated",
         };
         let labels = CallLabels { kind: self.kind.label(), result: label };
         self.gateway.metrics.store_calls.get_or_create(&labels).inc();
-        result.map(Response::into_body)
+        result.map(|(era, response)| (era, response.into_body()))
     }
 
     async fn list(&mut self) -> Result<(), Error> {
@@ -185,9 +209,23 @@
         // Objects of the first page may change while the others are read. The watch continues from
         // the oldest page, so that it reports these changes.
         let mut revision = u64::MAX;
-        loop {
+        let mut era = None;
+        let mut starts = 1;
+        let era = loop {
             let path = object::list_path(self.kind, after.as_deref());
-            let bytes = self.get(&path, LIST_TIMEOUT).await?;
+            let (page_era, bytes) = self.get(&path, LIST_TIMEOUT).await?;
+            if *era.get_or_insert(page_era) != page_era {
+                if starts == MAX_LIST_STARTS {
+                    return Err(Error::NoReply(
+                        "the era changes while the list is read".to_owned(),
+                    ));
+                }
+                // The pages read so far are of a state that the store has lost.
+                starts += 1;
+                objects.clear();
+                (after, revision, era) = (None, u64::MAX, None);
+                continue;
+            }
             let page = object::scan_page(&bytes)
                 .ok_or_else(|| Error::NoReply("cannot decode the list".to_owned()))?;
             self.gateway.record_unnamed(self.kind, page.unnamed);
@@ -197,10 +235,10 @@
             revision = revision.min(page.revision);
             match page.after {
                 Some(name) => after = Some(name),
-                None => break,
+                None => break page_era,
             }
-        }
-        self.gateway.replace_objects(self.kind, objects, revision);
+        };
+        self.gateway.replace_objects(self.kind, objects, Stamp::new(era, revision))?;
         self.record_success(clock::now().since(start));
         Ok(())
     }
@@ -213,12 +251,16 @@
         let wait_ms = if is_uncertain { 0 } else { WATCH_WAIT_MS };
         let path = object::watch_path(self.kind, revision, wait_ms);
         let timeout = Duration::from_millis(WATCH_WAIT_MS) + WATCH_TIMEOUT_MARGIN;
-        let bytes = self.get(&path, timeout).await?;
+        let (era, bytes) = self.get(&path, timeout).await?;
+        if !self.gateway.is_of_era(self.kind, era) {
+            return Err(Error::HistoryGone);
+        }
         let changes = object::scan_changes(&bytes)
             .ok_or_else(|| Error::NoReply("cannot decode the changes".to_owned()))?;
         self.gateway.record_unnamed(self.kind, changes.unnamed);
         let has_changes = !changes.events.is_empty();
-        self.gateway.apply_changes(self.kind, changes.events, changes.revision);
+        let stamp = Stamp::new(era, changes.revision);
+        self.gateway.apply_changes(self.kind, changes.events, stamp)?;
         self.record_success(Span::ZERO);
         if has_changes && self.kind == Kind::Target {
             clock::sleep(BATCH_DELAY).await;
@@ -300,30 +342,58 @@
     }
 
     /// Replaces all objects of `kind`, unless the list is older than the copy.
-    pub fn replace_objects(&self, kind: Kind, objects: BTreeMap<String, Object>, revision: u64) {
-        let difference = {
+    ///
+    /// Errors: the list is of another era than the one that this machine follows.
+    pub fn replace_objects(
+        &self,
+        kind: Kind,
+        objects: BTreeMap<String, Object>,
+        stamp: Stamp,
+    ) -> Result<(), Error> {
+        let (difference, is_restored) = {
             let mut state = self.state();
+            let era = state.era.era();
             let mirror = state.mirrors.entry(kind).or_default();
-            if revision < mirror.revision() {
-                return;
+            if stamp.era != era {
+                return Err(Error::Outdated(stamp.era));
+            }
+            let is_restored = mirror.is_other_era(stamp);
+            if !is_restored && stamp.revision < mirror.revision() {
+                return Ok(());
             }
-            mirror.replace(revision, objects)
+            (mirror.replace(stamp, objects), is_restored)
         };
-        self.apply(kind, &difference.changed, &difference.removed);
+        if is_restored {
+            self.apply_restored(kind, &difference);
+        } else {
+            self.apply(kind, &difference.changed, &difference.removed);
+        }
         self.mirror_changed.notify(usize::MAX);
+        Ok(())
     }
 
     /// Applies changes of `kind`, unless they are older than the copy.
-    pub fn apply_changes(&self, kind: Kind, events: Vec<(Object, bool)>, revision: u64) {
+    ///
+    /// Errors: the changes are of another era than the copy or the one that this machine follows.
+    pub fn apply_changes(
+        &self,
+        kind: Kind,
+        events: Vec<(Object, bool)>,
+        stamp: Stamp,
+    ) -> Result<(), Error> {
         let events: Vec<(Rc<Object>, bool)> =
             events.into_iter().map(|(object, is_deleted)| (Rc::new(object), is_deleted)).collect();
         {
             let mut state = self.state();
+            let era = state.era.era();
             let mirror = state.mirrors.entry(kind).or_default();
-            if revision < mirror.revision() {
-                return;
+            if stamp.era != era || mirror.is_other_era(stamp) {
+                return Err(Error::Outdated(stamp.era));
+            }
+            if stamp.revision < mirror.revision() {
+                return Ok(());
             }
-            mirror.apply(revision, events.iter().cloned());
+            mirror.apply(stamp.revision, events.iter().cloned());
         }
         // The last change of each object counts.
         let last: HashMap<&str, &(Rc<Object>, bool)> =
@@ -336,5 +406,6 @@
             self.apply(kind, &changed, &removed);
             self.mirror_changed.notify(usize::MAX);
         }
+        Ok(())
     }
 }
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -1,6 +1,5 @@
 //! Applies changes of the store's objects to the gateway's state.
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -27,7 +26,16 @@
     pub(super) fn apply(&self, kind: Kind, changed: &[Rc<Object>], removed: &[Rc<Object>]) {
         match kind {
             Kind::Config => changed.iter().for_each(|object| self.apply_config(object)),
-            Kind::Evacuation => self.apply_evacuations(),
+            Kind::Evacuation => {
+                let mut state = self.state();
+                for object in changed {
+                    let is_listed = !object.metadata.deleting;
+                    state.evacuations.record(&object.metadata.name, is_listed);
+                }
+                removed.iter().for_each(|o| state.evacuations.record(&o.metadata.name, false));
+                drop(state);
+                self.apply_evacuations();
+            }
             Kind::Target => {
                 // A line for each of many targets would fill the log of each machine of the fleet.
                 let is_logged = changed.len() <= MAX_TARGET_LINES;
@@ -71,12 +79,11 @@
         self.log.record(Event::PolicyApplied, fields);
     }
 
-    fn apply_evacuations(&self) {
+    pub(super) fn apply_evacuations(&self) {
         let mut state = self.state();
-        let mirror = state.mirrors.entry(Kind::Evacuation).or_default();
-        let objects = mirror.objects().filter(|object| !object.metadata.deleting);
-        let centres: HashSet<String> = objects.map(|object| object.metadata.name.clone()).collect();
-        let fields = json!({ "data_centres": centres, "revision": mirror.revision() });
+        let centres = state.evacuations.in_force();
+        let revision = state.mirrors.entry(Kind::Evacuation).or_default().revision();
+        let fields = json!({ "data_centres": centres, "revision": revision });
         state.balancer.set_evacuated_centres(centres);
         drop(state);
         self.log.record(Event::EvacuationsChanged, fields);
@@ -86,6 +93,7 @@
         let now = clock::now();
         let name = &object.metadata.name;
         self.state().unlisted.remove(name);
+        self.state().hold.targets.remove(name);
         let Some(spec) = registry::scan_target(object) else {
             let fields = json!({ "object": name, "revision": object.metadata.revision });
             self.log.record(Event::ObjectMalformed, fields);
@@ -124,6 +132,36 @@
         }
     }
 
+    /// Applies an entry of the first list of a new era, which may be older than what is known.
+    /// Returns whether it counts.
+    pub(super) fn apply_restored_target(&self, object: &Object) -> bool {
+        let now = clock::now();
+        let name = &object.metadata.name;
+        let spec = registry::scan_target(object);
+        let mut state = self.state();
+        state.hold.targets.remove(name);
+        let Some(spec) = spec else {
+            // What was known before may be in use until the target has written a valid entry again.
+            if state.balancer.find_target(name).is_some() {
+                state.hold.targets.insert(name.clone());
+            }
+            return false;
+        };
+        let address = spec.address;
+        let previous =
+            state.balancer.find_target(name).map(|id| state.balancer.target(id).spec.address);
+        let (id, update) = state.balancer.upsert_restored_target(now, spec);
+        if update == Update::Outdated {
+            return false;
+        }
+        state.unlisted.remove(name);
+        drop(state);
+        if previous.is_some_and(|previous| previous != address) {
+            self.pool.close_target(id);
+        }
+        true
+    }
+
     /// Marks a target as unlisted, and removes it if the store has been reachable for long enough.
     fn mark_unlisted(&self, name: &str) {
         self.state().unlisted.insert(name.to_owned());
@@ -184,6 +222,8 @@
             self.metrics.copy_age.get_or_create(&labels).set(age);
             self.metrics.copy_hops.get_or_create(&labels).set(i64::from(mirror.hops()));
         }
+        self.metrics.era.set(state.era.era().number() as i64);
+        self.metrics.held_targets.set(state.hold.targets.len() as i64);
         self.metrics.in_flight.set(self.in_flight.get() as i64);
         self.metrics.connections.set(self.connections.get() as i64);
         self.metrics.body_bytes.set(self.bodies.used() as i64);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -76,6 +76,17 @@
     /// A target's entry is older than what is known of the target, and was ignored.
     EntryOutdated = 208 Info "outdated entry ignored",
 
+    /// The store was restored from an older snapshot.
+    EraRaised = 220 Warn "store restored",
+    /// A reply of an earlier era of the store was ignored.
+    ReplyOutdated = 221 Warn "reply of an earlier store era ignored",
+    /// Only a lower era was seen for a while; the store is taken for another one.
+    StoreReplaced = 222 Warn "store replaced",
+    /// The first list of a new era was read. What was known before stays in force for a while.
+    HoldStarted = 223 Info "hold after a restore started",
+    /// What the store lists is in force again.
+    HoldEnded = 224 Info "hold after a restore ended",
+
     /// Certificate and key were reloaded.
     CertificateLoaded = 300 Info "certificate loaded",
     /// Certificate or key cannot be loaded; the previous ones stay in use.
