--- a/crates/gateway/tests/fake/store.rs
+++ b/crates/gateway/tests/fake/store.rs
@@ -11,13 +11,23 @@
 
 use super::{Message, TEST_TIMEOUT};
 
-fn response(status: &str, body: &[u8]) -> Vec<u8> {
-    let mut bytes =
-        format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
+fn response(era: Option<u64>, status: &str, body: &[u8]) -> Vec<u8> {
+    let era = era.map_or(String::new(), |era| format!("Store-Era: {era}\r\n"));
+    let head = format!("HTTP/1.1 {status}\r\n{era}Content-Length: {}\r\n\r\n", body.len());
+    let mut bytes = head.into_bytes();
     bytes.extend(body);
     bytes
 }
 
+/// What a store held at one time.
+#[derive(Debug, Clone)]
+pub struct Snapshot {
+    objects: BTreeMap<(String, String), Value>,
+    events: Vec<(u64, String, Value, bool)>,
+    compacted_revision: u64,
+    revision: u64,
+}
+
 /// How the store answers calls.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Mode {
@@ -40,6 +50,10 @@
     /// Changes up to this revision have been compacted.
     compacted_revision: u64,
     revision: u64,
+    /// Number of restores; none for a store that does not state it.
+    era: Option<u64>,
+    /// Calls for objects of this kind are answered with this era instead.
+    late_era: Option<(&'static str, u64)>,
     mode: Mode,
     /// Delay of each page of a list but the first.
     page_delay: Duration,
@@ -50,12 +64,13 @@
 }
 
 impl State {
-    fn response(&self, body: &Value) -> Vec<u8> {
+    fn response(&self, kind: &str, body: &Value) -> Vec<u8> {
         let mut body = body.to_string();
         for (index, text) in self.texts.iter().enumerate() {
             body = body.replace(&format!("\"@text-{index}\""), text);
         }
-        response("200 OK", body.as_bytes())
+        let late_era = self.late_era.filter(|(other, _)| *other == kind).map(|(_, era)| era);
+        response(late_era.or(self.era), "200 OK", body.as_bytes())
     }
 }
 
@@ -81,6 +96,8 @@
             events: Vec::new(),
             compacted_revision: 0,
             revision: 1,
+            era: None,
+            late_era: None,
             mode: Mode::Normal,
             page_delay: Duration::ZERO,
             texts: Vec::new(),
@@ -141,6 +158,44 @@
         self.state.1.notify_all();
     }
 
+    /// Sets the era that all responses state.
+    pub fn set_era(&self, era: u64) {
+        self.state.0.lock().unwrap().era = Some(era);
+    }
+
+    /// Responses state no era.
+    pub fn clear_era(&self) {
+        self.state.0.lock().unwrap().era = None;
+    }
+
+    /// Calls for objects of a kind are answered with an era that the store has left.
+    pub fn set_late_era(&self, late_era: Option<(&'static str, u64)>) {
+        self.state.0.lock().unwrap().late_era = late_era;
+        self.state.1.notify_all();
+    }
+
+    pub fn snapshot(&self) -> Snapshot {
+        let state = self.state.0.lock().unwrap();
+        Snapshot {
+            objects: state.objects.clone(),
+            events: state.events.clone(),
+            compacted_revision: state.compacted_revision,
+            revision: state.revision,
+        }
+    }
+
+    /// Restores a snapshot. All later writes are lost, and the era is one higher.
+    pub fn restore(&self, snapshot: &Snapshot) {
+        let mut state = self.state.0.lock().unwrap();
+        let snapshot = snapshot.clone();
+        state.objects = snapshot.objects;
+        state.events = snapshot.events;
+        state.compacted_revision = snapshot.compacted_revision;
+        state.revision = snapshot.revision;
+        state.era = Some(state.era.unwrap_or_default() + 1);
+        self.state.1.notify_all();
+    }
+
     /// Drops the history, so that watches of earlier revisions fail with 410.
     pub fn compact(&self) {
         let mut state = self.state.0.lock().unwrap();
@@ -187,7 +242,11 @@
     }
 
     fn reply_to(&self, call: &Message) -> Option<Vec<u8>> {
-        self.state.0.lock().unwrap().calls.push(call.first.clone());
+        let era = {
+            let mut state = self.state.0.lock().unwrap();
+            state.calls.push(call.first.clone());
+            state.era
+        };
         let mut words = call.first.split(' ');
         let (method, target) = (words.next()?, words.next()?);
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
@@ -200,11 +259,11 @@
             Mode::Normal => {}
             Mode::Silent => return None,
             Mode::ErrorStatus(status) => {
-                return Some(response(&format!("{status} Refused"), b""));
+                return Some(response(era, &format!("{status} Refused"), b""));
             }
             Mode::LosesReplies | Mode::CutsWatches(_) => {}
             Mode::RefusesKind(refused) if refused == kind => {
-                return Some(response("503 Refused", b""));
+                return Some(response(era, "503 Refused", b""));
             }
             Mode::RefusesKind(_) => {}
         }
@@ -212,13 +271,13 @@
             let object: Value = serde_json::from_slice(&call.body).ok()?;
             let name = object["metadata"]["name"].as_str()?.to_owned();
             if self.names(&kind).contains(&name) {
-                return Some(response("409 Conflict", b"{}"));
+                return Some(response(era, "409 Conflict", b"{}"));
             }
             self.put(&kind, &name, object);
             if self.state.0.lock().unwrap().mode == Mode::LosesReplies {
                 return None;
             }
-            return Some(response("201 Created", b"{}"));
+            return Some(response(era, "201 Created", b"{}"));
         }
         match field("watch") {
             Some(from) => {
@@ -241,7 +300,7 @@
         let more = items.len() > self.page_size;
         let items = &items[..items.len().min(self.page_size)];
         let page = json!({ "items": items, "hasMore": more, "currentRev": state.revision });
-        state.response(&page)
+        state.response(kind, &page)
     }
 
     fn watch(&self, kind: &str, from: u64, wait: Duration) -> Option<Vec<u8>> {
@@ -255,8 +314,8 @@
                 Mode::CutsWatches(after) if start.elapsed() < after => wake_at = start + after,
                 _ => return None,
             }
-            if from < state.compacted_revision {
-                return Some(response("410 Gone", b"{}"));
+            if from < state.compacted_revision || from > state.revision {
+                return Some(response(state.era, "410 Gone", b"{}"));
             }
             let events = state.events.iter().filter(|(rev, k, ..)| *rev > from && k == kind);
             let events: Vec<Value> = events
@@ -265,7 +324,7 @@
             let left = end.min(wake_at).saturating_duration_since(Instant::now());
             if !events.is_empty() || Instant::now() >= end {
                 let body = json!({ "events": events, "currentRev": state.revision });
-                return Some(state.response(&body));
+                return Some(state.response(kind, &body));
             }
             state = self.state.1.wait_timeout(state, left).unwrap().0;
         }
