--- a/crates/gateway/tests/tenants.rs
+++ b/crates/gateway/tests/tenants.rs
@@ -370,7 +370,7 @@
         gateway.log.lock().unwrap().iter().any(|line| line["event"] == 206)
     });
     let log = gateway.log.lock().unwrap();
-    let lines = log.iter().filter(|line| line["event"] == 220);
+    let lines = log.iter().filter(|line| line["event"] == 209);
     let lines: Vec<(u64, &str)> = lines
         .map(|line| (line["row"].as_u64().unwrap(), line["tenant"].as_str().unwrap()))
         .collect();
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -76,7 +76,18 @@
     /// A target's entry is older than what is known of the target, and was ignored.
     EntryOutdated = 208 Info "outdated entry ignored",
     /// An entry of a tenant is not in force, or not as a whole.
-    TenantFaulty = 220 Warn "tenant entry faulty",
+    TenantFaulty = 209 Warn "tenant entry faulty",
+
+    /// The store was restored from an older snapshot.
+    EraRaised = 220 Warn "store restored",
+    /// A reply of an earlier era of the store was ignored.
+    ReplyOutdated = 221 Warn "reply of an earlier store era ignored",
+    /// Only a lower era was seen for a while; the store is taken for another one.
+    StoreReplaced = 222 Warn "store replaced",
+    /// The first list of a new era was read. What was known before stays in force for a while.
+    HoldStarted = 223 Info "hold after a restore started",
+    /// What the store lists is in force again.
+    HoldEnded = 224 Info "hold after a restore ended",
 
     /// Certificate and key were reloaded.
     CertificateLoaded = 300 Info "certificate loaded",
