--- a/crates/gateway/tests/tenants.rs
+++ b/crates/gateway/tests/tenants.rs
@@ -5,12 +5,14 @@
 mod fake;
 
 use std::io::{BufReader, Write};
-use std::net::TcpStream;
+use std::net::{TcpStream, UdpSocket};
+use std::sync::mpsc::channel;
 use std::time::Duration;
 
+use ebonypass_core::gossip;
 use fake::{
     Behaviour, Gateway, Message, ROUTES, Store, TEST_TIMEOUT, Target, config, request,
-    send_request, start_gateway, wait_until,
+    send_request, start_gateway, unique_address, wait_until,
 };
 use serde_json::{Value, json};
 use test_case::test_case;
@@ -456,16 +458,80 @@
 fn many_rejections() {
     let target = Target::new("t-1", NORMAL);
     let (_store, gateway) = start(&[&target]);
-    let mut stream = BufReader::new(TcpStream::connect(gateway.callers).unwrap());
-    stream.get_ref().set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-    for index in 0..400 {
-        let bytes = with_lines("GET", "/safe/a", &format!("id-{index}"), &key("hush-9"));
-        stream.get_mut().write_all(&bytes).unwrap();
-        assert_eq!(Message::read(&mut stream).unwrap().status(), 401);
-    }
+    let statuses = send_many(&gateway, 400, "hush-9", "/safe/a");
+    assert!(statuses.iter().all(|status| *status == 401));
     assert!(metrics(&gateway).contains("code=\"2021\"} 400"));
     std::thread::sleep(Duration::from_millis(600));
     let log = gateway.log.lock().unwrap();
     let lines = log.iter().filter(|line| line["code"] == 2021).count();
     assert!((1..200).contains(&lines), "{lines} lines");
 }
+
+/// Sends `count` requests on one connection, and returns their statuses.
+fn send_many(gateway: &Gateway, count: usize, name: &str, path: &str) -> Vec<u16> {
+    let mut stream = BufReader::new(TcpStream::connect(gateway.callers).unwrap());
+    stream.get_ref().set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    let mut send = |index: usize| {
+        let bytes = with_lines("GET", path, &format!("id-{index}"), &key(name));
+        let text = String::from_utf8(bytes).unwrap().replace("Key=7", &format!("Key={index}"));
+        stream.get_mut().write_all(text.as_bytes()).unwrap();
+        Message::read(&mut stream).unwrap().status()
+    };
+    (0..count).map(&mut send).collect()
+}
+
+/// Requests without a key must not earn retries: whoever sends them would decide how many requests
+/// targets in trouble get.
+#[test]
+fn rejections_earn_no_retries() {
+    // So many that each sheds few requests: after some, a target counts as too slow to be used.
+    let targets: Vec<Target> =
+        (0..40).map(|index| Target::new(&format!("t-{index}"), Behaviour::Sheds)).collect();
+    let (_store, gateway) = start(&targets.iter().collect::<Vec<_>>());
+    std::thread::sleep(fake::WARM_UP);
+    assert!(send_many(&gateway, 800, "hush-9", "/safe/a").iter().all(|status| *status == 401));
+    assert!(send_many(&gateway, 150, "hush-1", "/safe/a").iter().all(|status| *status == 503));
+    let attempts: usize = targets.iter().map(Target::count).sum();
+    // A machine alone may send 0.6 * 62 retries and 0.15 for each of the 150 requests, 59 in all.
+    // For 950 requests there is no limit below one for each of the 150.
+    assert!((170..=215).contains(&attempts), "{attempts} attempts");
+}
+
+/// Requests without a key must not raise the demand by which machines are chosen. The test takes the
+/// part of a seed, to which a machine without neighbours sends its heartbeats.
+#[test]
+fn rejections_are_no_demand() {
+    let seed = UdpSocket::bind((unique_address(), 7620)).unwrap();
+    seed.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    let store = Store::new();
+    store.put("config", "main", with_tenants(2, &rows()));
+    let target = Target::new("t-1", NORMAL);
+    store.put("servers", "t-1", target.entry("s", "ready"));
+    let seeds = [seed.local_addr().unwrap()];
+    let gateway = Gateway::start_process(unique_address(), &store, "vm-1", &seeds, false);
+    gateway.wait_ready();
+    wait_until("the target is known", || {
+        gateway.log.lock().unwrap().iter().any(|line| line["event"] == 500)
+    });
+    // The highest of the demands that were sent from the start of the requests until a second after.
+    let demand_of = |name: &str| {
+        let (end_sender, end) = channel();
+        let receiver = seed.try_clone().unwrap();
+        let heartbeats = std::thread::spawn(move || {
+            let mut demand = 0;
+            while end.try_recv().is_err() {
+                let mut bytes = [0; 2_048];
+                let (length, _) = receiver.recv_from(&mut bytes).unwrap();
+                let message: gossip::Message = postcard::from_bytes(&bytes[..length]).unwrap();
+                demand = message.peers[0].heartbeat.demand.max(demand);
+            }
+            demand
+        });
+        send_many(&gateway, 300, name, "/safe/a");
+        std::thread::sleep(Duration::from_secs(1));
+        end_sender.send(()).unwrap();
+        heartbeats.join().unwrap()
+    };
+    assert_eq!(demand_of("hush-9"), 0);
+    assert!(demand_of("hush-1") > 10);
+}
