--- a/crates/gateway/tests/fake/gateway.rs
+++ b/crates/gateway/tests/fake/gateway.rs
@@ -62,6 +62,12 @@
         addresses.into_iter().enumerate().map(start).collect()
     }
 
+    /// Starts a gateway that may use this much memory and this many descriptors.
+    pub fn start_limited(store: &Store, memory_mb: u64, descriptors: usize) -> Gateway {
+        let limits = (memory_mb, descriptors);
+        Gateway::start_with_limits(unique_address(), store, "vm-1", &[], false, limits)
+    }
+
     /// Starts the gateway of a machine called `name` at `address`.
     pub fn start_process(
         address: Ipv4Addr,
@@ -69,6 +75,18 @@
         name: &str,
         seeds: &[SocketAddr],
         is_first_start: bool,
+    ) -> Gateway {
+        let limits = (260, 1024);
+        Gateway::start_with_limits(address, store, name, seeds, is_first_start, limits)
+    }
+
+    fn start_with_limits(
+        address: Ipv4Addr,
+        store: &Store,
+        name: &str,
+        seeds: &[SocketAddr],
+        is_first_start: bool,
+        (memory_mb, descriptors): (u64, usize),
     ) -> Gateway {
         let at = |port: u16| SocketAddr::from((address, port));
         let (callers, readiness) = (at(CALLERS_PORT), at(READINESS_PORT));
@@ -79,7 +97,7 @@
              [regions]\n\"zrh-a\" = \"zurich\"\n\"gva-a\" = \"geneva\"\n\
              [listen]\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\nlookups = \"{lookups}\"\nmesh_port = {MESH_PORT}\nmetrics_port = {METRICS_PORT}\n\
              [store]\naddress = \"{}\"\n\
-             [limits]\nmemory_mb = 260\ndescriptors = 1024\ncpu_share = 0.2\nlink_mbps = 1000\n\
+             [limits]\nmemory_mb = {memory_mb}\ndescriptors = {descriptors}\ncpu_share = 0.2\nlink_mbps = 1000\n\
              [times]\ngrace_s = 6\nlookup_s = 5\n\
              [shared]\nrepeat_ratio = 0.2\nrepeat_allowance = 62\nrepeat_window_s = 10\ncold_factor = 1.5\ncold_allowance = 5\n",
             store.address
