--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::SystemTime;
 
-use bytes::Bytes;
 use ebonypass_core::availability::State;
 use ebonypass_core::balancer::{self, Choice};
 use ebonypass_core::id::TargetId;
@@ -11,15 +10,18 @@
 use ebonypass_node::clock;
 use ebonypass_node::event::Event;
 use ebonypass_platform::header::{self, ReplyMetadata, RetryAfter};
-use http_body_util::{BodyExt, Full};
+use http_body::Body as HttpBody;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, header as http_header};
 use serde_json::json;
 use smol::Timer;
 
 use crate::body::{Body, Rest};
+use crate::budget::Reservation;
 use crate::connection::{Connection, Error as ConnectionError, error_with_source};
 use crate::gateway::Gateway;
+use crate::payload::{Collector, Payload};
 use crate::pool;
 use crate::request::Job;
 
@@ -84,7 +86,7 @@
             "the target stopped taking requests while the connection was opened".to_owned(),
         );
     }
-    let mut request = Request::new(Full::new(job.body.clone()));
+    let mut request = Request::new(job.body.clone());
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = origin_form(&job.uri);
     *request.headers_mut() = job.headers.clone();
@@ -138,7 +140,7 @@
     if is_mismatched {
         return Outcome::Lost("the reply is for another request".to_owned());
     }
-    let (start, is_whole) = match read_start(&mut rest).await {
+    let (start, reservation, is_whole) = match read_start(gateway, &mut rest).await {
         Ok(start) => start,
         Err(_) if metadata.is_not_run => return Outcome::NotRun(balancer::Outcome::Shed),
         Err(error) => return Outcome::Lost(error_with_source(&error)),
@@ -169,12 +171,12 @@
         if is_reusable {
             put_back(gateway, target, connection, metadata.idle_timeout);
         }
-        Body::whole(start)
+        Body::held(start, reservation)
     } else {
         let time_left = job.deadline.since(clock::now());
         let deadline = Timer::after(clock::duration(time_left));
-        let start = Some(start);
-        Body::Stream(Box::new(Rest { start, rest, deadline, _connection: connection }))
+        let start = (start, reservation);
+        Body::Stream(Box::new(Rest::new(gateway, start, rest, connection, deadline)))
     };
     Outcome::Reply(Box::new(Reply { status: parts.status, headers, metadata, body }))
 }
@@ -231,27 +233,30 @@
         .any(|value| value.to_ascii_lowercase().contains("close"))
 }
 
-/// Reads up to about [`MAX_BUFFERED_REPLY_BYTES`] of a body. The flag is true if the body is
-/// complete.
-async fn read_start(body: &mut Incoming) -> Result<(Bytes, bool), hyper::Error> {
-    let mut start: Vec<Bytes> = Vec::new();
-    let mut length = 0;
-    while length < MAX_BUFFERED_REPLY_BYTES {
+/// Reads up to about [`MAX_BUFFERED_REPLY_BYTES`] of a body, or less if there is no memory for it.
+/// The flag is true if the body is complete.
+async fn read_start(
+    gateway: &Gateway,
+    body: &mut Incoming,
+) -> Result<(Payload, Reservation, bool), hyper::Error> {
+    let mut reservation = gateway.bodies.reservation();
+    let mut start = Collector::default();
+    while start.length() < MAX_BUFFERED_REPLY_BYTES {
         let Some(frame) = body.frame().await else {
-            return Ok((join(start), true));
+            return Ok((start.finish(), reservation, true));
         };
         if let Ok(data) = frame?.into_data() {
-            length += data.len();
-            start.push(data);
+            let capacity = start.capacity_with(data.len(), usize::MAX);
+            let is_free = reservation.try_grow_reply(capacity);
+            if !is_free {
+                reservation.add(capacity - reservation.bytes());
+            }
+            start.push(&data, usize::MAX);
+            if !is_free {
+                break;
+            }
         }
     }
-    Ok((join(start), false))
-}
-
-fn join(mut parts: Vec<Bytes>) -> Bytes {
-    match parts.len() {
-        0 => Bytes::new(),
-        1 => parts.remove(0),
-        _ => Bytes::from(parts.concat()),
-    }
+    let is_whole = body.is_end_stream();
+    Ok((start.finish(), reservation, is_whole))
 }
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,16 +1,27 @@
 //! Reply bodies sent to callers.
 
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
 
 use bytes::Bytes;
+use event_listener::Event as Signal;
 use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use smol::Timer;
+use smol::{Task, Timer};
 
+use crate::budget::Reservation;
 use crate::connection::Connection;
+use crate::gateway::Gateway;
+use crate::payload::Payload;
+
+/// Memory of a piece that is read ahead, beside its bytes.
+const PIECE_OVERHEAD: usize = 64;
 
 /// Why a streamed body ended early.
 #[derive(Debug)]
@@ -36,8 +47,13 @@
 /// looks complete.
 #[derive(Debug)]
 pub enum Body {
-    /// A fully buffered body; none once it is sent, or if it is empty.
-    Whole(Option<Bytes>),
+    /// A body in memory.
+    Whole {
+        /// What is left to send.
+        payload: Payload,
+        /// Memory of the body, if it is counted.
+        _reservation: Option<Reservation>,
+    },
     /// A buffered prefix, followed by the streamed rest.
     Stream(Box<Rest>),
 }
@@ -46,20 +62,147 @@
 #[derive(Debug)]
 pub struct Rest {
     /// The prefix, until it is sent.
-    pub start: Option<Bytes>,
-    /// The rest of the target's body.
-    pub rest: Incoming,
+    start: Payload,
+    /// Memory of the prefix.
+    reservation: Reservation,
+    ahead: Rc<ReadAhead>,
+    /// Bytes that are not sent yet, if the target announced its length.
+    left: Option<u64>,
     /// Ends the body at the request's deadline: a target may send without end.
-    pub deadline: Timer,
-    /// The connection to the target, kept open while `rest` is read.
-    pub _connection: Connection,
+    deadline: Timer,
+    _reader: Task<()>,
+}
+
+/// The part of a target's body that was read and is not sent yet.
+#[derive(Debug)]
+struct ReadAhead {
+    pieces: RefCell<VecDeque<Bytes>>,
+    reservation: RefCell<Reservation>,
+    end: RefCell<Option<Result<(), hyper::Error>>>,
+    has_ended: Cell<bool>,
+    /// The caller's connection, if it waits for a piece.
+    waker: RefCell<Option<Waker>>,
+    drained: Signal,
+    /// Bytes that are read ahead at most.
+    limit: usize,
+}
+
+impl ReadAhead {
+    /// Reads the rest of a target's body, ahead of the caller as far as replies may take memory.
+    async fn fill(&self, mut body: Incoming, connection: Connection) {
+        let end = loop {
+            match body.frame().await {
+                None => break Ok(()),
+                Some(Err(error)) => break Err(error),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data()
+                        && !data.is_empty()
+                    {
+                        self.push(&data).await;
+                    }
+                }
+            }
+        };
+        drop(connection);
+        *self.end.borrow_mut() = Some(end);
+        self.has_ended.set(true);
+        self.wake();
+    }
+
+    /// Adds a piece once there is memory for it, or once all former ones are sent.
+    async fn push(&self, data: &Bytes) {
+        let size = data.len() + PIECE_OVERHEAD;
+        loop {
+            let drained = self.drained.listen();
+            let held = self.reservation.borrow().bytes();
+            let is_allowed = held + size <= self.limit;
+            if is_allowed && self.reservation.borrow_mut().try_grow_reply(held + size) {
+                break;
+            }
+            if self.pieces.borrow().is_empty() {
+                self.reservation.borrow_mut().add(size);
+                break;
+            }
+            drained.await;
+        }
+        // A copy, since a piece may be a small part of hyper's read buffer and would keep it.
+        self.pieces.borrow_mut().push_back(Bytes::copy_from_slice(data));
+        self.wake();
+    }
+
+    fn wake(&self) {
+        if let Some(waker) = self.waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+
+    fn poll_piece(&self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
+        if let Some(piece) = self.pieces.borrow_mut().pop_front() {
+            self.reservation.borrow_mut().shrink(piece.len() + PIECE_OVERHEAD);
+            self.drained.notify(usize::MAX);
+            return Poll::Ready(Some(Ok(piece)));
+        }
+        if self.has_ended.get() {
+            let end = self.end.borrow_mut().take();
+            return Poll::Ready(end.and_then(Result::err).map(|error| Err(Error::Target(error))));
+        }
+        *self.waker.borrow_mut() = Some(context.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl Rest {
+    /// A body of which `start` was read, and `body` is to come on `connection`.
+    pub fn new(
+        gateway: &Gateway,
+        (start, reservation): (Payload, Reservation),
+        body: Incoming,
+        connection: Connection,
+        deadline: Timer,
+    ) -> Rest {
+        let left = body.size_hint().exact().map(|rest| rest + start.left() as u64);
+        let ahead = Rc::new(ReadAhead {
+            pieces: RefCell::default(),
+            reservation: RefCell::new(reservation.sibling()),
+            end: RefCell::default(),
+            has_ended: Cell::new(false),
+            waker: RefCell::default(),
+            drained: Signal::new(),
+            limit: gateway.settings.limits.read_ahead(),
+        });
+        let reader = ahead.clone();
+        let reader = gateway.executor.spawn(async move { reader.fill(body, connection).await });
+        Rest { start, reservation, ahead, left, deadline, _reader: reader }
+    }
+
+    fn poll_piece(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
+        if Pin::new(&mut self.deadline).poll(context).is_ready() {
+            return Poll::Ready(Some(Err(Error::DeadlinePassed)));
+        }
+        if let Some(bytes) = self.start.next_segment() {
+            if self.start.is_empty() {
+                self.reservation.shrink(usize::MAX);
+            }
+            return Poll::Ready(Some(Ok(bytes)));
+        }
+        self.ahead.poll_piece(context)
+    }
 }
 
 impl Body {
-    /// Creates a fully buffered body.
+    /// Creates a body in memory.
     pub fn whole(bytes: impl Into<Bytes>) -> Body {
-        let bytes = bytes.into();
-        Body::Whole((!bytes.is_empty()).then_some(bytes))
+        Body::Whole { payload: Payload::from(bytes.into()), _reservation: None }
+    }
+
+    /// Creates a body of which the memory is counted.
+    pub fn held(payload: Payload, reservation: Reservation) -> Body {
+        Body::Whole { payload, _reservation: Some(reservation) }
+    }
+
+    /// Creates an empty body.
+    pub fn empty() -> Body {
+        Body::Whole { payload: Payload::default(), _reservation: None }
     }
 }
 
@@ -72,43 +215,34 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         match self.get_mut() {
-            Body::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Body::Stream(stream) => {
-                let Rest { start, rest, deadline, .. } = &mut **stream;
-                if Pin::new(deadline).poll(context).is_ready() {
-                    return Poll::Ready(Some(Err(Error::DeadlinePassed)));
-                }
-                match start.take() {
-                    Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
-                    None => {
-                        let frame = ready!(Pin::new(rest).poll_frame(context));
-                        Poll::Ready(frame.map(|frame| frame.map_err(Error::Target)))
-                    }
-                }
+            Body::Whole { payload, .. } => {
+                Poll::Ready(payload.next_segment().map(|bytes| Ok(Frame::data(bytes))))
             }
+            Body::Stream(stream) => stream.poll_piece(context).map(|piece| {
+                let piece = piece?;
+                if let (Ok(bytes), Some(left)) = (&piece, &mut stream.left) {
+                    *left = left.saturating_sub(bytes.len() as u64);
+                }
+                Some(piece.map(Frame::data))
+            }),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Body::Whole(bytes) => bytes.is_none(),
-            Body::Stream(stream) => stream.start.is_none() && stream.rest.is_end_stream(),
+            Body::Whole { payload, .. } => payload.is_empty(),
+            Body::Stream(stream) => {
+                let has_ended = matches!(*stream.ahead.end.borrow(), Some(Ok(())));
+                let is_sent = stream.start.is_empty() && stream.ahead.pieces.borrow().is_empty();
+                has_ended && is_sent
+            }
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Body::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
-            Body::Stream(stream) => {
-                let start = stream.start.as_ref().map_or(0, |bytes| bytes.len() as u64);
-                stream
-                    .rest
-                    .size_hint()
-                    .exact()
-                    .map_or_else(SizeHint::new, |rest| SizeHint::with_exact(start + rest))
-            }
+            Body::Whole { payload, .. } => SizeHint::with_exact(payload.left() as u64),
+            Body::Stream(stream) => stream.left.map_or_else(SizeHint::new, SizeHint::with_exact),
         }
     }
 }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -5,9 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_lite::future;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -15,6 +13,7 @@
 use smol::{Async, LocalExecutor, Task, Timer};
 use socket2::{SockRef, TcpKeepalive};
 
+use crate::payload::Payload;
 use crate::stream::{HeadLimit, MAX_READ_BYTES, Stream};
 
 /// How long sent bytes may stay unacknowledged. Without it, a request on a connection whose peer no
@@ -25,6 +24,10 @@
 /// Unanswered keepalive probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Size of the send and receive buffers of an outgoing connection. The kernel would let them grow
+/// to megabytes while a caller reads slowly or a target does not read.
+const SOCKET_BUFFER: usize = 128 << 10;
+
 /// Why a request received no reply.
 #[derive(Debug)]
 pub enum Error {
@@ -37,7 +40,7 @@
 /// An open connection; dropping it closes it.
 #[derive(Debug)]
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Payload>,
     socket: TcpStream,
     head_limit: HeadLimit,
     _driver: Task<()>,
@@ -58,6 +61,7 @@
         };
         let stream = future::or(Async::<net::TcpStream>::connect(address), timer).await?;
         set_socket_options(&stream)?;
+        set_socket_buffers(&stream, SOCKET_BUFFER)?;
         let head_limit = HeadLimit::default();
         let socket = TcpStream::from(stream);
         let io = Stream::new(socket.clone(), head_limit.clone());
@@ -86,10 +90,7 @@
     /// Sends a request and waits for the head of the reply.
     ///
     /// Errors: no reply head arrived; the variant says whether the request was sent.
-    pub async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Error> {
+    pub async fn send(&mut self, request: Request<Payload>) -> Result<Response<Incoming>, Error> {
         if let Err(error) = self.sender.ready().await {
             return Err(Error::Unsent(error.to_string()));
         }
@@ -124,3 +125,10 @@
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
+
+/// Limits what the kernel holds for a connection. The kernel reserves twice `bytes` each way.
+pub fn set_socket_buffers(stream: &Async<net::TcpStream>, bytes: usize) -> io::Result<()> {
+    let socket = SockRef::from(stream.get_ref());
+    socket.set_recv_buffer_size(bytes)?;
+    socket.set_send_buffer_size(bytes)
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,6 +22,8 @@
 use smol::LocalExecutor;
 
 use crate::budget::Budget;
+use crate::limit::Tally;
+use crate::listener::Table;
 use crate::log::Log;
 use crate::metric::Metrics;
 use crate::mirror::Mirror;
@@ -83,14 +85,16 @@
     pub metrics: Metrics,
     /// Idle connections to targets.
     pub pool: Pool,
-    /// Memory of request bodies.
+    /// Memory of request bodies and replies.
     pub bodies: Rc<Budget>,
     /// Requests in flight.
     pub in_flight: Cell<usize>,
     /// Requests received since the last heartbeat.
     pub arrivals: Cell<u64>,
     /// Open incoming connections.
-    pub connections: Cell<usize>,
+    pub connections: Rc<Table>,
+    /// What limits refused or closed.
+    pub tally: Rc<Tally>,
     /// The store's answers to this machine.
     pub store_contact: Cell<Contact>,
     /// The store's answers to this machine's calls for targets.
@@ -140,14 +144,16 @@
             unlisted: HashSet::new(),
             retry_budgets: HashMap::new(),
         };
+        let tally: Rc<Tally> = Rc::default();
         Rc::new(Gateway {
             log: Log::new(&settings.name),
             metrics: Metrics::new(),
             pool: Pool::new(executor.clone()),
-            bodies: Budget::new(settings.limits.body_budget()),
+            bodies: Budget::new(settings.limits.body_limits()),
             in_flight: Cell::new(0),
             arrivals: Cell::new(0),
-            connections: Cell::new(0),
+            connections: Table::new(settings.limits.connection_limits(), tally.clone()),
+            tally,
             store_contact: Cell::default(),
             target_contact: Cell::default(),
             phase: Cell::new(Phase::Serving),
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,37 +1,48 @@
 //! Accepts incoming HTTP connections, and answers lookups, readiness checks and metrics requests.
 
+mod stream;
+mod table;
+
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use ebonypass_core::time::Span;
 use ebonypass_node::clock;
-use ebonypass_node::event::Event;
 use ebonypass_platform::directory;
-use futures_lite::future;
+use futures_lite::{AsyncReadExt, future};
+use http_body::{Body as HttpBody, Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, header};
-use serde_json::json;
 use smol::{Async, Timer};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use smol_hyper::rt::SmolTimer;
+use socket2::SockRef;
 
-use crate::body::Body;
+use self::stream::Stream;
+use self::table::{IDLE_RECEIVE_BUFFER, Place};
+pub use self::table::{Limits, Purpose, Table};
+use crate::body::{self, Body};
 use crate::connection::set_socket_options;
 use crate::gateway::{Gateway, Phase};
+use crate::limit::Limit;
 
 /// How long callers may cache a lookup reply. Short, so that they soon stop using a machine that
 /// died; lookups are cheap.
 const LOOKUP_TTL: Span = Span::from_millis(2_000);
 /// Delay after `accept` failed, usually because file descriptors ran out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Incoming connections may use the descriptor limit divided by this.
-const CALLER_DESCRIPTOR_DIVISOR: usize = 2;
+/// Bounds of what is read and dropped after the last reply on a connection.
+const MAX_DISCARDED_BYTES: usize = 256 << 10;
+const MAX_DISCARD_TIME: Duration = Duration::from_millis(300);
+const DISCARD_BUFFER_BYTES: usize = 4 << 10;
 /// The smallest head buffer that hyper accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
 /// How often a connection checks the shutdown phase.
@@ -42,6 +53,7 @@
 /// Errors: the address cannot be bound.
 pub fn listen<F>(
     gateway: &Rc<Gateway>,
+    purpose: Purpose,
     address: SocketAddr,
     handle: impl Fn(Rc<Gateway>, Request<Incoming>) -> F + Clone + 'static,
 ) -> io::Result<()>
@@ -49,15 +61,16 @@
     F: Future<Output = Response<Body>> + 'static,
 {
     let listener = Async::<TcpListener>::bind(address)?;
+    // Accepted connections inherit the size, also those that are not accepted yet.
+    SockRef::from(listener.get_ref()).set_recv_buffer_size(IDLE_RECEIVE_BUFFER)?;
     let gateway = gateway.clone();
     let executor = gateway.executor.clone();
     let task = async move {
         loop {
             match listener.accept().await {
-                Ok((stream, peer)) => accept_connection(&gateway, stream, peer, handle.clone()),
-                Err(error) => {
-                    let fields = json!({ "error": error.to_string() });
-                    gateway.log.record(Event::CallerLimited, fields);
+                Ok((stream, _)) => accept_connection(&gateway, purpose, stream, handle.clone()),
+                Err(_) => {
+                    gateway.tally.add(Limit::Accept);
                     Timer::after(ACCEPT_RETRY_DELAY).await;
                 }
             }
@@ -69,44 +82,53 @@
 
 fn accept_connection<F>(
     gateway: &Rc<Gateway>,
+    purpose: Purpose,
     stream: Async<TcpStream>,
-    peer: SocketAddr,
     handle: impl Fn(Rc<Gateway>, Request<Incoming>) -> F + Clone + 'static,
 ) where
     F: Future<Output = Response<Body>> + 'static,
 {
-    let limit = gateway.settings.limits.descriptors / CALLER_DESCRIPTOR_DIVISOR;
-    if gateway.connections.get() >= limit {
-        let fields = json!({ "peer": peer.to_string(), "limit": limit });
-        gateway.log.record(Event::CallerLimited, fields);
+    let is_set = set_socket_options(&stream).and_then(|()| {
+        let bytes = gateway.settings.limits.socket_buffer();
+        SockRef::from(stream.get_ref()).set_send_buffer_size(bytes)
+    });
+    if is_set.is_err() {
+        // The caller has already disconnected.
         return;
     }
-    gateway.connections.set(gateway.connections.get() + 1);
+    let Some(place) = gateway.connections.admit(purpose, stream.into()) else {
+        if purpose == Purpose::Callers {
+            // A body that has stalled keeps its connection, and ends with a refusal.
+            gateway.bodies.evict_stalled(1);
+        }
+        return;
+    };
     let gateway = gateway.clone();
     let executor = gateway.executor.clone();
     executor
         .spawn(async move {
-            serve_connection_until_stop(&gateway, stream, handle).await;
-            gateway.connections.set(gateway.connections.get() - 1);
+            let place = Rc::new(place);
+            serve_connection_until_stop(&gateway, &place, handle).await;
+            discard_rest(&mut place.socket()).await;
         })
         .detach();
 }
 
 async fn serve_connection_until_stop<F>(
     gateway: &Rc<Gateway>,
-    stream: Async<TcpStream>,
+    place: &Rc<Place>,
     handle: impl Fn(Rc<Gateway>, Request<Incoming>) -> F,
 ) where
     F: Future<Output = Response<Body>>,
 {
-    if set_socket_options(&stream).is_err() {
-        // The caller has already disconnected.
-        return;
-    }
     let limits = gateway.state().limits;
     let service = service_fn(|request| {
+        let busy = Busy::new(place);
         let response = handle(gateway.clone(), request);
-        async { Ok::<_, Infallible>(response.await) }
+        async {
+            let response = response.await;
+            Ok::<_, Infallible>(response.map(|body| Tracked { body, _busy: busy }))
+        }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
@@ -114,7 +136,7 @@
         // the time for which callers may keep idle connections.
         .header_read_timeout(clock::duration(limits.idle_timeout))
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(Stream::new(place.clone()), service);
     let mut connection = pin!(connection);
     let closing = async {
         while gateway.phase.get() < Phase::Closing {
@@ -130,9 +152,72 @@
     }
 }
 
+/// Reads and drops a part of what a caller still sends after the last reply. Closing a socket with
+/// unread bytes resets the connection, and the caller may then lose the reply.
+async fn discard_rest(socket: &mut smol::net::TcpStream) {
+    let discard = async {
+        let mut bytes = [0; DISCARD_BUFFER_BYTES];
+        let mut left = MAX_DISCARDED_BYTES;
+        while left > 0 {
+            match socket.read(&mut bytes).await {
+                Ok(length) if length > 0 => left = left.saturating_sub(length),
+                _ => return,
+            }
+        }
+    };
+    let timer = async {
+        Timer::after(MAX_DISCARD_TIME).await;
+    };
+    future::or(discard, timer).await;
+}
+
+/// Marks a connection as busy from the head of a request to the end of its reply.
+#[derive(Debug)]
+struct Busy(Rc<Place>);
+
+impl Busy {
+    fn new(place: &Rc<Place>) -> Busy {
+        place.start_request();
+        Busy(place.clone())
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.finish_request();
+    }
+}
+
+/// A reply body that keeps its connection marked as busy.
+#[derive(Debug)]
+struct Tracked {
+    body: Body,
+    _busy: Busy,
+}
+
+impl HttpBody for Tracked {
+    type Data = Bytes;
+    type Error = body::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, body::Error>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A reply with `status` and no body.
 pub fn empty_reply(status: StatusCode) -> Response<Body> {
-    let mut response = Response::new(Body::Whole(None));
+    let mut response = Response::new(Body::empty());
     *response.status_mut() = status;
     response
 }
--- /dev/null
+++ b/crates/gateway/src/listener/table.rs
@@ -0,0 +1,241 @@
+//! Open incoming connections, and the limits on them.
+//!
+//! When a limit is reached, the connection that has made no progress for longest is closed. A
+//! connection whose request is running is never closed for another one.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::Shutdown;
+use std::rc::Rc;
+
+use ebonypass_core::time::{Instant, Span};
+use ebonypass_node::clock;
+use smol::net::TcpStream;
+use socket2::SockRef;
+
+use crate::limit::{Limit, Tally};
+
+/// Receive buffer of a connection that sends no large body. The kernel reserves twice as much.
+pub const IDLE_RECEIVE_BUFFER: usize = 16 << 10;
+
+/// What a listener is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// Requests of callers.
+    Callers,
+    /// Lookups of callers.
+    Lookups,
+    /// Readiness checks.
+    Readiness,
+    /// Metrics.
+    Metrics,
+    /// Messages between machines.
+    Mesh,
+}
+
+impl Purpose {
+    const COUNT: usize = 5;
+}
+
+/// Limits of a [`Table`].
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Connections by purpose, in the order of [`Purpose`].
+    pub connections: [usize; Purpose::COUNT],
+    /// Bytes of unfinished heads, of all connections together.
+    pub head_bytes: usize,
+    /// Time without progress after which a connection may be closed for another one.
+    pub stall: Span,
+    /// Receive and send buffer of a connection that transfers a large body.
+    pub socket_buffer: usize,
+}
+
+/// One incoming connection.
+#[derive(Debug)]
+pub struct Entry {
+    purpose: Purpose,
+    socket: TcpStream,
+    progress_at: Cell<Instant>,
+    head_since: Cell<Option<Instant>>,
+    head_bytes: Cell<usize>,
+    body_bytes: Cell<usize>,
+    is_busy: Cell<bool>,
+    is_write_blocked: Cell<bool>,
+    is_closing: Cell<bool>,
+}
+
+/// All incoming connections.
+#[derive(Debug)]
+pub struct Table {
+    limits: Limits,
+    tally: Rc<Tally>,
+    next_id: Cell<u64>,
+    counts: [Cell<usize>; Purpose::COUNT],
+    head_bytes: Cell<usize>,
+    entries: RefCell<BTreeMap<u64, Rc<Entry>>>,
+}
+
+/// The place of a connection in the table, until dropped.
+#[derive(Debug)]
+pub struct Place {
+    table: Rc<Table>,
+    id: u64,
+    entry: Rc<Entry>,
+}
+
+impl Table {
+    /// Creates an empty table.
+    pub fn new(limits: Limits, tally: Rc<Tally>) -> Rc<Table> {
+        Rc::new(Table {
+            limits,
+            tally,
+            next_id: Cell::new(0),
+            counts: Default::default(),
+            head_bytes: Cell::new(0),
+            entries: RefCell::default(),
+        })
+    }
+
+    /// Open connections.
+    pub fn count(&self) -> usize {
+        self.counts.iter().map(Cell::get).sum()
+    }
+
+    /// Adds a connection. None if there are too many.
+    pub fn admit(self: &Rc<Self>, purpose: Purpose, socket: TcpStream) -> Option<Place> {
+        let count = &self.counts[purpose as usize];
+        if count.get() >= self.limits.connections[purpose as usize] {
+            // The closed connection gives its place back once its task has run.
+            self.close_longest_stalled(|entry| entry.purpose == purpose);
+            self.tally.add(Limit::Connections);
+            return None;
+        }
+        count.set(count.get() + 1);
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        let entry = Rc::new(Entry {
+            purpose,
+            socket,
+            progress_at: Cell::new(clock::now()),
+            head_since: Cell::new(None),
+            head_bytes: Cell::new(0),
+            body_bytes: Cell::new(0),
+            is_busy: Cell::new(false),
+            is_write_blocked: Cell::new(false),
+            is_closing: Cell::new(false),
+        });
+        self.entries.borrow_mut().insert(id, entry.clone());
+        Some(Place { table: self.clone(), id, entry })
+    }
+
+    /// Closes the connections whose heads have taken longer than `head_timeout`.
+    pub fn close_slow_heads(&self, head_timeout: Span) {
+        let now = clock::now();
+        for entry in self.entries.borrow().values() {
+            let since = entry.head_since.get();
+            if since.is_some_and(|since| now.since(since) >= head_timeout) && entry.close() {
+                self.tally.add(Limit::HeadTime);
+            }
+        }
+    }
+
+    fn close_longest_stalled(&self, includes: impl Fn(&Entry) -> bool) {
+        let now = clock::now();
+        let entries = self.entries.borrow();
+        let stalled = entries.values().filter(|entry| {
+            includes(entry)
+                && !entry.is_closing.get()
+                && (!entry.is_busy.get() || entry.is_write_blocked.get())
+                && now.since(entry.progress_at.get()) >= self.limits.stall
+        });
+        if let Some(entry) = stalled.min_by_key(|entry| entry.progress_at.get())
+            && entry.close()
+        {
+            self.tally.add(Limit::Evicted);
+        }
+    }
+}
+
+impl Entry {
+    /// Closes the connection. Returns whether it was open.
+    fn close(&self) -> bool {
+        let was_open = !self.is_closing.replace(true);
+        if was_open {
+            // The peer may have closed the connection already.
+            let _ = self.socket.shutdown(Shutdown::Both);
+        }
+        was_open
+    }
+}
+
+impl Place {
+    /// The socket of the connection.
+    pub fn socket(&self) -> TcpStream {
+        self.entry.socket.clone()
+    }
+
+    /// Records received bytes.
+    pub fn record_read(&self, bytes: usize) {
+        let entry = &self.entry;
+        entry.progress_at.set(clock::now());
+        if entry.is_busy.get() {
+            let before = entry.body_bytes.replace(entry.body_bytes.get() + bytes);
+            if before <= IDLE_RECEIVE_BUFFER && entry.body_bytes.get() > IDLE_RECEIVE_BUFFER {
+                self.set_receive_buffer(self.table.limits.socket_buffer);
+            }
+            return;
+        }
+        if entry.head_since.get().is_none() {
+            entry.head_since.set(Some(clock::now()));
+        }
+        entry.head_bytes.set(entry.head_bytes.get() + bytes);
+        let table = &self.table;
+        table.head_bytes.set(table.head_bytes.get() + bytes);
+        if table.head_bytes.get() > table.limits.head_bytes {
+            table.close_longest_stalled(|entry| entry.head_bytes.get() > 0);
+        }
+    }
+
+    /// Records a write: whether the socket took bytes.
+    pub fn record_write(&self, is_blocked: bool) {
+        self.entry.is_write_blocked.set(is_blocked);
+        if !is_blocked {
+            self.entry.progress_at.set(clock::now());
+        }
+    }
+
+    /// Records that the head of a request is complete.
+    pub fn start_request(&self) {
+        self.end_head();
+        self.entry.is_busy.set(true);
+    }
+
+    /// Records that the reply has been handed to the connection.
+    pub fn finish_request(&self) {
+        self.entry.is_busy.set(false);
+        self.entry.progress_at.set(clock::now());
+        if self.entry.body_bytes.replace(0) > IDLE_RECEIVE_BUFFER {
+            self.set_receive_buffer(IDLE_RECEIVE_BUFFER);
+        }
+    }
+
+    fn end_head(&self) {
+        self.entry.head_since.set(None);
+        let bytes = self.entry.head_bytes.take();
+        self.table.head_bytes.set(self.table.head_bytes.get() - bytes);
+    }
+
+    fn set_receive_buffer(&self, bytes: usize) {
+        // A connection that keeps its buffer works, if slowly.
+        let _ = SockRef::from(&self.entry.socket).set_recv_buffer_size(bytes);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.end_head();
+        let count = &self.table.counts[self.entry.purpose as usize];
+        count.set(count.get() - 1);
+        self.table.entries.borrow_mut().remove(&self.id);
+    }
+}
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -10,6 +10,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::limit::Limit;
+
 /// Bucket bounds of the latency histogram, in seconds.
 const LATENCY_BOUNDS: [f64; 12] =
     [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0];
@@ -63,6 +65,13 @@
     pub route: String,
 }
 
+/// Labels of a limit.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LimitLabels {
+    /// The limit.
+    pub limit: Limit,
+}
+
 /// The metrics of one process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -95,9 +104,11 @@
     pub in_flight: Gauge,
     /// Open incoming connections.
     pub connections: Gauge,
-    /// Bytes that request bodies take.
+    /// What limits refused or closed.
+    pub limited: Family<LimitLabels, Counter>,
+    /// Bytes that request bodies and replies take.
     pub body_bytes: Gauge,
-    /// The most bytes that request bodies took at once.
+    /// The most bytes that request bodies and replies took at once.
     pub body_bytes_peak: Gauge,
 }
 
@@ -120,6 +131,7 @@
             is_entry: Gauge::default(),
             in_flight: Gauge::default(),
             connections: Gauge::default(),
+            limited: Family::default(),
             body_bytes: Gauge::default(),
             body_bytes_peak: Gauge::default(),
             registry: Registry::default(),
@@ -164,15 +176,20 @@
         );
         registry.register("requests_in_flight", "Requests in flight", metrics.in_flight.clone());
         registry.register("connections", "Open incoming connections", metrics.connections.clone());
+        registry.register(
+            "limited",
+            "Connections and bodies that a limit refused or closed",
+            metrics.limited.clone(),
+        );
         registry.register_with_unit(
             "request_bodies",
-            "Memory of request bodies",
+            "Memory of request bodies and of replies that are read ahead",
             Unit::Bytes,
             metrics.body_bytes.clone(),
         );
         registry.register_with_unit(
             "request_bodies_peak",
-            "The most memory that request bodies took at once",
+            "The most memory that request bodies and replies took at once",
             Unit::Bytes,
             metrics.body_bytes_peak.clone(),
         );
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,6 +1,7 @@
 //! Handles a caller's request: reads it, forwards it to targets with retries, and returns the
 //! reply.
 
+mod body;
 mod forward;
 mod read;
 mod reply;
@@ -8,7 +9,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use ebonypass_core::balancer::RegionSet;
 use ebonypass_core::id::ServiceId;
 use ebonypass_core::outcome::Reason;
@@ -24,6 +24,7 @@
 use crate::budget::Reservation;
 use crate::gateway::{Gateway, Phase};
 use crate::metric::Ending;
+use crate::payload::Payload;
 
 /// A request that has been read and matched to a route.
 pub(crate) struct Job {
@@ -31,7 +32,7 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: Payload,
     /// Memory of the body.
     _reservation: Reservation,
     pub(crate) route: MatchedRoute,
--- /dev/null
+++ b/crates/gateway/src/request/body.rs
@@ -0,0 +1,126 @@
+//! Receives the bodies of requests.
+
+use std::rc::Rc;
+
+use ebonypass_core::outcome::Reason;
+use ebonypass_core::time::{Instant, Span};
+use ebonypass_node::clock;
+use futures_lite::future;
+use http_body::Body as HttpBody;
+use http_body_util::BodyExt;
+use hyper::HeaderMap;
+use hyper::body::Incoming;
+
+use crate::budget::Reservation;
+use crate::gateway::Gateway;
+use crate::limit::Limit;
+use crate::payload::{Collector, Payload};
+
+/// How long a body waits for memory that other bodies use. A caller gives up a request that is not
+/// read within a second.
+const MAX_BODY_WAIT: Span = Span::from_millis(500);
+/// Memory of a header, beside its name and value.
+const HEADER_OVERHEAD: usize = 64;
+/// A body larger than this may leave the enlarged receive buffer of its connection full.
+const SMALL_BODY_BYTES: usize = 16 << 10;
+
+/// Receives a body of at most `limit` bytes. The reservation covers the body and `headers`.
+///
+/// Errors: the body is too large or malformed, or there is no memory for it.
+pub(super) async fn receive(
+    gateway: &Rc<Gateway>,
+    headers: &HeaderMap,
+    body: Incoming,
+    limit: usize,
+    deadline: Instant,
+) -> Result<(Payload, Reservation), Reason> {
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if stated > limit {
+        gateway.tally.add(Limit::BodySize);
+        return Err(Reason::BodyTooLarge);
+    }
+    let (reservation, eviction) = gateway.bodies.reservation_for_reader();
+    let total = gateway.settings.limits.body_budget();
+    let sizes = Sizes {
+        head: head_bytes(headers),
+        // The kernel reserves twice the size of the buffer.
+        socket_buffer: 2 * gateway.settings.limits.socket_buffer(),
+        total,
+        limit,
+    };
+    let evicted = async {
+        eviction.wait().await;
+        gateway.tally.add(Limit::Body);
+        Err(Reason::QueueFull)
+    };
+    let result = future::or(collect(body, stated, sizes, reservation, deadline), evicted).await;
+    match result {
+        Err(Reason::QueueFull) => gateway.tally.add(Limit::Memory),
+        Err(Reason::BodyTooLarge) => gateway.tally.add(Limit::BodySize),
+        _ => {}
+    }
+    result
+}
+
+/// Memory that the headers of a request take.
+fn head_bytes(headers: &HeaderMap) -> usize {
+    let sizes =
+        headers.iter().map(|(name, value)| name.as_str().len() + value.len() + HEADER_OVERHEAD);
+    sizes.sum()
+}
+
+/// What the size of a reservation follows from.
+#[derive(Debug, Clone, Copy)]
+struct Sizes {
+    head: usize,
+    socket_buffer: usize,
+    total: usize,
+    limit: usize,
+}
+
+impl Sizes {
+    /// The reservation for a body that takes `capacity`. None if there is never as much.
+    fn reservation(&self, capacity: usize) -> Option<usize> {
+        let socket_buffer = if capacity > SMALL_BODY_BYTES { self.socket_buffer } else { 0 };
+        // A body of the permitted size is served on a machine with just that memory for bodies.
+        let bytes = (capacity + self.head + socket_buffer).min(self.total.max(self.head));
+        (capacity <= self.total).then_some(bytes)
+    }
+}
+
+async fn collect(
+    mut body: Incoming,
+    stated: usize,
+    sizes: Sizes,
+    mut reservation: Reservation,
+    deadline: Instant,
+) -> Result<(Payload, Reservation), Reason> {
+    // All of an announced body is reserved before it is read, so that bodies do not wait for each
+    // other half-read.
+    let limit = if stated > 0 { stated } else { sizes.limit };
+    reserve(&mut reservation, sizes.reservation(stated), deadline).await?;
+    let mut collector = Collector::default();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Reason::HeadMalformed)?;
+        let Ok(data) = frame.into_data() else { continue };
+        if collector.length() + data.len() > limit {
+            return Err(Reason::BodyTooLarge);
+        }
+        let capacity = collector.capacity_with(data.len(), limit);
+        reserve(&mut reservation, sizes.reservation(capacity.max(stated)), deadline).await?;
+        collector.push(&data, limit);
+        reservation.record_received(collector.length());
+    }
+    reservation.complete();
+    Ok((collector.finish(), reservation))
+}
+
+async fn reserve(
+    reservation: &mut Reservation,
+    bytes: Option<usize>,
+    deadline: Instant,
+) -> Result<(), Reason> {
+    let bytes = bytes.ok_or(Reason::QueueFull)?;
+    let wait_end = deadline.min(clock::now() + MAX_BODY_WAIT);
+    if reservation.grow(bytes, wait_end).await { Ok(()) } else { Err(Reason::QueueFull) }
+}
--- a/crates/gateway/src/request/read.rs
+++ b/crates/gateway/src/request/read.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use ebonypass_core::balancer::RegionSet;
 use ebonypass_core::id::ServiceId;
 use ebonypass_core::outcome::Reason;
@@ -10,24 +9,17 @@
 use ebonypass_node::clock;
 use ebonypass_platform::header::{self, RequestMetadata};
 use futures_lite::future;
-use http_body::Body as HttpBody;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header as http_header;
 use hyper::http::request::Parts;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Job, MatchedRoute};
-use crate::budget::Reservation;
 use crate::gateway::{Gateway, Phase};
 
 /// Requests time out this long before the caller's own deadline, so that the error reply arrives in
 /// time.
 const DEADLINE_MARGIN: Span = Span::from_millis(25);
-/// How long a body waits for memory that other bodies use. A caller gives up a request that is not
-/// read within a second.
-const MAX_BODY_WAIT: Span = Span::from_millis(500);
-
 /// Reads a request and matches it to a route.
 pub(super) async fn read_request(
     gateway: &Rc<Gateway>,
@@ -46,19 +38,11 @@
         .map_or(route.timeout, |left| (left - DEADLINE_MARGIN).min(route.timeout));
     let deadline = arrived + time_left;
     let limit = gateway.state().limits.body_bytes;
-    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    if stated > limit {
-        return Err(Reason::BodyTooLarge);
-    }
     let timer = async {
         gateway.wait_for_deadline(deadline).await;
         Err(Reason::DeadlinePassed)
     };
-    let wait_end = deadline.min(clock::now() + MAX_BODY_WAIT);
-    let body = async {
-        let reservation = gateway.bodies.reserve(stated, wait_end).await;
-        read_body(body, limit, stated, reservation.ok_or(Reason::QueueFull)?).await
-    };
+    let body = super::body::receive(gateway, &parts.headers, body, limit, deadline);
     let (body, reservation) = future::or(body, timer).await?;
     if gateway.phase.get() >= Phase::Refusing {
         return Err(Reason::Stopping);
@@ -78,30 +62,6 @@
     })
 }
 
-/// Reads a body of at most `limit` bytes, of which `stated` are announced and reserved.
-async fn read_body(
-    body: Incoming,
-    limit: usize,
-    stated: usize,
-    mut reservation: Reservation,
-) -> Result<(Bytes, Reservation), Reason> {
-    let mut body = Limited::new(body, limit);
-    let mut bytes = Vec::with_capacity(stated);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| {
-            let is_long = error.downcast_ref::<LengthLimitError>().is_some();
-            if is_long { Reason::BodyTooLarge } else { Reason::HeadMalformed }
-        })?;
-        if let Ok(data) = frame.into_data() {
-            if !reservation.grow(bytes.len() + data.len()) {
-                return Err(Reason::QueueFull);
-            }
-            bytes.extend_from_slice(&data);
-        }
-    }
-    Ok((Bytes::from(bytes), reservation))
-}
-
 fn resolve_route(
     gateway: &Gateway,
     parts: &Parts,
--- a/crates/gateway/src/request/reply.rs
+++ b/crates/gateway/src/request/reply.rs
@@ -44,7 +44,7 @@
 
 /// An error reply made by the gateway, without a body.
 pub(super) fn error_reply(reason: Reason, retry_after: Option<Span>) -> Response<Body> {
-    let mut response = Response::new(Body::Whole(None));
+    let mut response = Response::new(Body::empty());
     *response.status_mut() = reply_status(reason);
     if response.status() == StatusCode::SERVICE_UNAVAILABLE {
         // Jitter keeps callers that were refused together from retrying together.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -16,7 +16,7 @@
 
 use crate::gateway::{Gateway, Phase};
 use crate::gossip::Gossip;
-use crate::listener;
+use crate::listener::{self, Purpose};
 use crate::replication;
 use crate::request::{self, STOP_POLL_INTERVAL};
 use crate::settings::Settings;
@@ -25,6 +25,8 @@
 
 /// Time between two housekeeping runs.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two log lines about what a limit refused or closed.
+const TALLY_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout of a call to the store's list of machines.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after which the seeds are asked for heartbeats a second time.
@@ -61,17 +63,22 @@
         gateway.log.record(Event::Started, json!({ "address": address.to_string() }));
         let gossip = Gossip::new(&gateway).context("cannot bind the UDP mesh port")?;
         let gossip = Rc::new(gossip);
-        listener::listen(&gateway, listen.callers, request::handle)
+        listener::listen(&gateway, Purpose::Callers, listen.callers, request::handle)
             .context("cannot listen for callers")?;
-        listener::listen(&gateway, listen.lookups, listener::handle_lookup)
+        listener::listen(&gateway, Purpose::Lookups, listen.lookups, listener::handle_lookup)
             .context("cannot listen for lookups")?;
-        listener::listen(&gateway, listen.readiness, listener::handle_readiness)
-            .context("cannot listen for readiness checks")?;
+        listener::listen(
+            &gateway,
+            Purpose::Readiness,
+            listen.readiness,
+            listener::handle_readiness,
+        )
+        .context("cannot listen for readiness checks")?;
         let metrics = SocketAddr::new(address, listen.metrics_port);
-        listener::listen(&gateway, metrics, listener::handle_metrics)
+        listener::listen(&gateway, Purpose::Metrics, metrics, listener::handle_metrics)
             .context("cannot listen for metrics requests")?;
         let peers = SocketAddr::new(address, listen.mesh_port);
-        listener::listen(&gateway, peers, replication::handle_poll)
+        listener::listen(&gateway, Purpose::Mesh, peers, replication::handle_poll)
             .context("cannot listen on the TCP mesh port")?;
         for kind in [Kind::Config, Kind::Target, Kind::Evacuation] {
             executor.spawn(Synchronizer::new(&gateway, kind).run()).detach();
@@ -97,7 +104,8 @@
         gateway.phase.set(Phase::Refusing);
         self.gossip.announce_leaving().await;
         gateway.phase.set(Phase::Closing);
-        while clock::now() < end && (gateway.in_flight.get() > 0 || gateway.connections.get() > 0) {
+        while clock::now() < end && (gateway.in_flight.get() > 0 || gateway.connections.count() > 0)
+        {
             Timer::after(STOP_POLL_INTERVAL).await;
         }
         let left = gateway.in_flight.get();
@@ -118,6 +126,15 @@
 fn spawn_tasks(executor: &Rc<LocalExecutor<'static>>, gateway: &Rc<Gateway>, gossip: &Rc<Gossip>) {
     let logger = gateway.clone();
     executor.spawn(async move { logger.log.run_flush_loop().await }).detach();
+    let reporter = gateway.clone();
+    executor
+        .spawn(async move {
+            loop {
+                Timer::after(TALLY_INTERVAL).await;
+                reporter.tally.report(&reporter.log, &reporter.metrics);
+            }
+        })
+        .detach();
     let receiver = gossip.clone();
     executor.spawn(async move { receiver.receive().await }).detach();
     let sender = gossip.clone();
@@ -129,6 +146,8 @@
                 Timer::after(HOUSEKEEPING_INTERVAL).await;
                 housekeeper.drop_unlisted();
                 housekeeper.pool.close_expired();
+                let head_timeout = housekeeper.state().limits.head_timeout;
+                housekeeper.connections.close_slow_heads(head_timeout);
             }
         })
         .detach();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,6 +10,8 @@
 use serde_with::{DurationSecondsWithFrac, serde_as};
 use std::time::Duration;
 
+use crate::{budget, listener};
+
 /// Settings of one gateway process. `gateway.example.toml` documents them.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -78,8 +80,63 @@
     pub cpu_share: f64,
     /// Bandwidth of the machine's link in Mbit/s.
     pub link_mbps: f64,
+    /// Connections at once.
+    #[serde(default)]
+    pub connections: Connections,
+    /// Send and receive buffer in KiB of a connection that transfers a large body.
+    #[serde(default = "default_socket_buffer_kb")]
+    pub socket_buffer_kb: usize,
+    /// KiB of one reply that are read ahead of its caller, at most.
+    #[serde(default = "default_read_ahead_kb")]
+    pub read_ahead_kb: usize,
+    /// Time in ms after which a body without progress may lose its memory to others.
+    #[serde(default = "default_body_stall_ms")]
+    pub body_stall_ms: u64,
+    /// Time in ms after which a connection without progress may be closed for another one.
+    #[serde(default = "default_connection_stall_ms")]
+    pub connection_stall_ms: u64,
+}
+
+/// Limits on the connections of each listener at once.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Connections {
+    /// Callers; by default half of the descriptors, and at most 8 for each MB of memory.
+    pub callers: Option<usize>,
+    /// Lookups; by default a sixteenth of the descriptors.
+    pub lookups: Option<usize>,
+    /// Readiness checks; by default a 64th of the descriptors.
+    pub readiness: Option<usize>,
+    /// Metrics; by default a 64th of the descriptors.
+    pub metrics: Option<usize>,
+    /// Messages between machines; by default a sixteenth of the descriptors.
+    pub mesh: Option<usize>,
+}
+
+/// A window of 64 KiB covers 10 Mbit/s over 40 ms, the longest round trip between regions.
+fn default_socket_buffer_kb() -> usize {
+    64
+}
+
+/// Replies on the platform have up to 540 kB. A target may send without end, so one reply must not
+/// take all memory for replies.
+fn default_read_ahead_kb() -> usize {
+    1_024
+}
+
+/// Less than the time that a body waits for memory, so that it gets that of one that has stalled.
+fn default_body_stall_ms() -> u64 {
+    400
+}
+
+fn default_connection_stall_ms() -> u64 {
+    1_000
 }
 
+/// Callers may have this many connections for each MB of memory: one that stops within a head of
+/// 16 KiB takes about 32 KiB, a fifth of the memory at 160 MB.
+const CALLERS_PER_MB: usize = 8;
+
 /// Share of a core of a machine of strength 1.
 const CPU_SHARE_PER_STRENGTH: f64 = 0.1;
 /// Bandwidth of a machine of strength 1 in Mbit/s.
@@ -88,13 +145,59 @@
 /// Share of the memory limit that request bodies may take together. The rest is for the copies of
 /// the store's objects, replies, connections and logs.
 const BODY_SHARE: f64 = 0.4;
+/// Share of the memory limit that small bodies may take in addition.
+const SMALL_BODY_SHARE: f64 = 0.1;
+/// Share of the memory for bodies up to which replies are read ahead. The rest stays for requests.
+const REPLY_SHARE: f64 = 0.75;
+/// Share of the memory limit that unfinished heads may take.
+const HEAD_SHARE: f64 = 0.1;
 
 impl Limits {
-    /// Bytes that the request bodies in flight may take together.
+    /// Bytes that request bodies and replies may take together.
     pub fn body_budget(&self) -> usize {
         ((self.memory_mb << 20) as f64 * BODY_SHARE) as usize
     }
 
+    /// Send and receive buffer in bytes of a connection that transfers a large body.
+    pub fn socket_buffer(&self) -> usize {
+        self.socket_buffer_kb << 10
+    }
+
+    /// Bytes of one reply that are read ahead of its caller, at most.
+    pub fn read_ahead(&self) -> usize {
+        self.read_ahead_kb << 10
+    }
+
+    /// Limits on the memory of bodies.
+    pub fn body_limits(&self) -> budget::Limits {
+        let total = self.body_budget();
+        budget::Limits {
+            total,
+            small: ((self.memory_mb << 20) as f64 * SMALL_BODY_SHARE) as usize,
+            replies: (total as f64 * REPLY_SHARE) as usize,
+            stall: Span::from_millis(self.body_stall_ms),
+        }
+    }
+
+    /// Limits on connections. Each listener takes at least one.
+    pub fn connection_limits(&self) -> listener::Limits {
+        let part = |stated: Option<usize>, default: usize| stated.unwrap_or(default).max(1);
+        let stated = &self.connections;
+        let callers = (self.descriptors / 2).min(self.memory_mb as usize * CALLERS_PER_MB);
+        listener::Limits {
+            connections: [
+                part(stated.callers, callers),
+                part(stated.lookups, self.descriptors / 16),
+                part(stated.readiness, self.descriptors / 64),
+                part(stated.metrics, self.descriptors / 64),
+                part(stated.mesh, self.descriptors / 16),
+            ],
+            head_bytes: ((self.memory_mb << 20) as f64 * HEAD_SHARE) as usize,
+            stall: Span::from_millis(self.connection_stall_ms),
+            socket_buffer: self.socket_buffer(),
+        }
+    }
+
     /// How much work the machine can take, in units of the weakest machine. The scarcer of
     /// processor and link decides.
     pub fn strength(&self) -> u8 {
@@ -159,6 +262,22 @@
         }
         check_range("limits.memory_mb", self.limits.memory_mb, 32..=1 << 20)?;
         check_range("limits.descriptors", self.limits.descriptors, 64..=1 << 20)?;
+        let limits = &self.limits;
+        check_range("limits.socket_buffer_kb", limits.socket_buffer_kb, 16..=16 << 10)?;
+        check_range("limits.read_ahead_kb", limits.read_ahead_kb, 0..=1 << 20)?;
+        check_range("limits.body_stall_ms", limits.body_stall_ms, 10..=600_000)?;
+        check_range("limits.connection_stall_ms", limits.connection_stall_ms, 10..=600_000)?;
+        for (field, stated) in [
+            ("limits.connections.callers", limits.connections.callers),
+            ("limits.connections.lookups", limits.connections.lookups),
+            ("limits.connections.readiness", limits.connections.readiness),
+            ("limits.connections.metrics", limits.connections.metrics),
+            ("limits.connections.mesh", limits.connections.mesh),
+        ] {
+            if let Some(stated) = stated {
+                check_range(field, stated, 1..=limits.descriptors)?;
+            }
+        }
         check_range("limits.cpu_share", self.limits.cpu_share, 0.001..=1_024.0)?;
         check_range("limits.link_mbps", self.limits.link_mbps, 0.1..=1e6)?;
         check_range("shared.repeat_ratio", self.shared.retry_ratio, 0.0..=1.0)?;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -7,11 +7,12 @@
 
 use bytes::Bytes;
 use futures_lite::future;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, StatusCode, header};
 use smol::{LocalExecutor, Timer};
 
 use crate::connection::{Connection, Error as ConnectionError};
+use crate::payload::Payload;
 
 /// Connect timeout. TCP retransmits a SYN lost during a network partition only after seconds, so a
 /// new connection is tried soon instead.
@@ -109,7 +110,7 @@
             .uri(path)
             .header(header::HOST, self.address.to_string())
             .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(body)))
+            .body(Payload::from(Bytes::from(body)))
             .map_err(|error| Error::NoReply(error.to_string()))?;
         let reply = connection.send(request).await.map_err(|error| match error {
             ConnectionError::Unsent(reason) => Error::NoReply(reason),
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -185,7 +185,7 @@
             self.metrics.copy_hops.get_or_create(&labels).set(i64::from(mirror.hops()));
         }
         self.metrics.in_flight.set(self.in_flight.get() as i64);
-        self.metrics.connections.set(self.connections.get() as i64);
+        self.metrics.connections.set(self.connections.count() as i64);
         self.metrics.body_bytes.set(self.bodies.used() as i64);
         self.metrics.body_bytes_peak.set(self.bodies.peak() as i64);
         drop(state);
