--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -2,6 +2,7 @@
 //! reply.
 
 pub(crate) mod access;
+mod body;
 mod forward;
 mod read;
 mod reply;
@@ -9,7 +10,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use ebonypass_core::balancer::RegionSet;
 use ebonypass_core::id::ServiceId;
 use ebonypass_core::outcome::Reason;
@@ -26,6 +26,7 @@
 use crate::budget::Reservation;
 use crate::gateway::{Gateway, Phase};
 use crate::metric::Ending;
+use crate::payload::Payload;
 
 /// A request that has been read and matched to a route.
 pub(crate) struct Job {
@@ -33,7 +34,7 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: Payload,
     /// Memory of the body.
     _reservation: Reservation,
     pub(crate) route: MatchedRoute,
