Let requests wait for a slot in their order where the configuration asks for it

Requests of configurations with tenants, uploads or downloads now wait at the gateway while their best target has no free slot, by rank, timeliness and turns of tenants.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -48,6 +48,8 @@
 #[derive(Debug, Default)]
 pub struct Table {
     hosts: HashMap<String, Vec<Entry>>,
+    /// The most urgent priority among the routes of each service.
+    priorities: HashMap<String, u8>,
 }
 
 /// A route and the state of the split between its services.
@@ -70,15 +72,20 @@
     /// Builds a table of `routes`, without those that have no service of positive weight.
     pub fn new(routes: impl IntoIterator<Item = Route>) -> Table {
         let mut hosts: HashMap<String, Vec<Entry>> = HashMap::new();
+        let mut priorities: HashMap<String, u8> = HashMap::new();
         for route in routes {
             let weights: Vec<u32> = route.services.iter().map(|service| service.weight).collect();
             let Some(rotation) = rotation::RoundRobin::new(weights) else { continue };
+            for service in route.services.iter().filter(|service| service.weight > 0) {
+                let priority = priorities.entry(service.service.clone()).or_insert(u8::MAX);
+                *priority = route.priority.min(*priority);
+            }
             hosts.entry(route.host.clone()).or_default().push(Entry { route, rotation });
         }
         for entries in hosts.values_mut() {
             entries.sort_by_key(|entry| std::cmp::Reverse(entry.route.prefix.len()));
         }
-        Table { hosts }
+        Table { hosts, priorities }
     }
 
     /// The route of `host` with the longest prefix that `path` starts with.
@@ -87,6 +94,11 @@
         entries.iter_mut().find(|entry| path.starts_with(&entry.route.prefix))
     }
 
+    /// Whether no route of `service` is more urgent than one with this priority.
+    pub fn is_most_urgent(&self, service: &str, priority: u8) -> bool {
+        self.priorities.get(service).is_none_or(|most_urgent| priority <= *most_urgent)
+    }
+
     /// The number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -33,6 +33,7 @@
 use crate::pool::Pool;
 use crate::settings::Settings;
 use crate::sync::Hold;
+use crate::waiting::Waiting;
 
 /// Fraction of the fleet's retry allowance that is used. The rest covers machines that restarted
 /// and lost count of the retries they sent.
@@ -101,6 +102,8 @@
     pub pool: Pool,
     /// Memory of request bodies and replies.
     pub bodies: Rc<Budget>,
+    /// Requests that wait for a slot of a target.
+    pub waiting: RefCell<Waiting>,
     /// Requests in flight.
     pub in_flight: Cell<usize>,
     /// Requests received since the last heartbeat.
@@ -171,6 +174,7 @@
             metrics: Metrics::new(),
             pool: Pool::new(executor.clone()),
             bodies: Budget::new(settings.limits.body_limits()),
+            waiting: RefCell::default(),
             in_flight: Cell::new(0),
             arrivals: Cell::new(0),
             connections: Table::new(settings.limits.connection_limits(), tally.clone()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,5 +23,6 @@
 mod store;
 mod stream;
 mod sync;
+mod waiting;
 
 pub use server::Server;
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -130,6 +130,10 @@
     pub held_targets: Gauge,
     /// 1 if lookups of this machine's region return it.
     pub is_entry: Gauge,
+    /// Requests that had to wait for a slot of a target.
+    pub waits: Family<RouteLabels, Counter>,
+    /// Requests that wait now.
+    pub waiting: Gauge,
     /// Requests in flight.
     pub in_flight: Gauge,
     /// Open incoming connections.
@@ -165,6 +169,8 @@
             ignored_replies: Family::default(),
             held_targets: Gauge::default(),
             is_entry: Gauge::default(),
+            waits: Family::default(),
+            waiting: Gauge::default(),
             in_flight: Gauge::default(),
             connections: Gauge::default(),
             limited: Family::default(),
@@ -236,6 +242,16 @@
             "Whether lookups of this region return this machine",
             metrics.is_entry.clone(),
         );
+        registry.register(
+            "waits",
+            "Requests that had to wait for a slot of a target",
+            metrics.waits.clone(),
+        );
+        registry.register(
+            "requests_waiting",
+            "Requests that wait for a slot of a target",
+            metrics.waiting.clone(),
+        );
         registry.register("requests_in_flight", "Requests in flight", metrics.in_flight.clone());
         registry.register("connections", "Open incoming connections", metrics.connections.clone());
         registry.register(
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,6 +4,7 @@
 pub(crate) mod access;
 mod body;
 mod forward;
+mod place;
 mod read;
 mod reply;
 
@@ -52,6 +53,8 @@
     pub(crate) idempotent: bool,
     pub(crate) is_public: bool,
     pub(crate) priority: u8,
+    /// Whether no route of the service is more urgent.
+    pub(crate) is_most_urgent: bool,
     pub(crate) attempt_limit: u32,
     pub(crate) latency_objective: Span,
     pub(crate) allowed_regions: RegionSet,
--- a/crates/gateway/src/request/access.rs
+++ b/crates/gateway/src/request/access.rs
@@ -12,6 +12,10 @@
 use super::Job;
 use crate::gateway::{Gateway, State};
 
+/// Ranks of one tenant. Routes with a priority of as much or more share ranks with those of the next
+/// tenants.
+const RANKS_PER_TENANT: u16 = 8;
+
 /// Why a request is refused before it is sent.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Rejection {
@@ -83,6 +87,12 @@
         self.owner.as_ref().map_or(route, |owner| route.intersection(owner.allowed_regions))
     }
 
+    /// Rank of the request on a route with priority `route`: the tenant's priority goes first.
+    pub(super) fn rank(&self, route: u8) -> u16 {
+        let tenant = self.owner.as_ref().and_then(|owner| owner.priority).unwrap_or(0);
+        u16::from(tenant) * RANKS_PER_TENANT + u16::from(route)
+    }
+
     /// The priority of the request on a route with priority `route`.
     pub(crate) fn priority(&self, route: u8) -> u8 {
         self.owner.as_ref().and_then(|owner| owner.priority).unwrap_or(route)
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -2,17 +2,17 @@
 
 use std::rc::Rc;
 
-use ebonypass_core::balancer::{self, Attempt, Backlog, Choice, Query, Refusal};
-use ebonypass_core::id::TargetId;
+use ebonypass_core::balancer::{self, Attempt, Backlog, Choice, Refusal};
+use ebonypass_core::id::{ServiceId, TargetId};
 use ebonypass_core::outcome::Reason;
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_node::clock;
 use futures_lite::future;
 use hyper::Response;
 use serde_json::{Value, json};
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::access::check_again;
+use super::place::{Unplaced, place};
 use super::reply::{MAX_RETRY_AFTER, error_reply};
 use super::{Completion, Job};
 use crate::attempt::{Outcome, Reply, send_attempt};
@@ -26,31 +26,33 @@
 /// reports the attempt as cancelled.
 struct AttemptGuard {
     gateway: Rc<Gateway>,
+    service: ServiceId,
+    target: TargetId,
     attempt: Option<Attempt>,
 }
 
 impl AttemptGuard {
-    fn new(gateway: &Rc<Gateway>, choice: &Choice) -> AttemptGuard {
-        let attempt = gateway.state().balancer.start_attempt(clock::now(), choice);
-        AttemptGuard { gateway: gateway.clone(), attempt: Some(attempt) }
+    fn new(gateway: &Rc<Gateway>, service: ServiceId, choice: &Choice) -> AttemptGuard {
+        let attempt = Some(gateway.state().balancer.start_attempt(clock::now(), choice));
+        AttemptGuard { gateway: gateway.clone(), service, target: choice.target, attempt }
     }
 
     fn finish(mut self, outcome: balancer::Outcome) {
+        self.end(outcome);
+    }
+
+    fn end(&mut self, outcome: balancer::Outcome) {
         if let Some(attempt) = self.attempt.take() {
-            self.gateway.state().balancer.finish_attempt(clock::now(), attempt, outcome);
+            let now = clock::now();
+            self.gateway.state().balancer.finish_attempt(now, attempt, outcome);
+            self.gateway.release_slot(now, self.service, self.target);
         }
     }
 }
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
-        if let Some(attempt) = self.attempt.take() {
-            self.gateway.state().balancer.finish_attempt(
-                clock::now(),
-                attempt,
-                balancer::Outcome::Cancelled,
-            );
-        }
+        self.end(balancer::Outcome::Cancelled);
     }
 }
 
@@ -68,23 +70,17 @@
             // A target has seen the request and has not run it, or `last` says how it ended.
             break (if has_sent { Reason::Shed } else { reason }, None);
         }
-        let choice = match choose_target(gateway, &job, &tried) {
+        let choice = match place(gateway, &job, &tried).await {
             Ok(choice) => choice,
-            Err(Refusal::NoTarget) if tried.is_empty() => break (Reason::NoTarget, None),
-            Err(Refusal::NoTarget) => break (Reason::Shed, None),
-            Err(Refusal::TurnedAway(wait)) => {
-                attempts.push(turned_away_fields(&job, wait));
-                let reason = if tried.is_empty() { Reason::NoTarget } else { Reason::Shed };
-                break (reason, Some(wait));
-            }
-            Err(Refusal::Full(full)) => {
-                attempts.push(refusal_fields(&job, full));
-                break (Reason::DeadlineTooClose, Some(full.retry_after.min(MAX_RETRY_AFTER)));
+            Err(unplaced) => {
+                let (reason, retry_after, fields) = refuse(&job, unplaced, tried.is_empty());
+                attempts.extend(fields);
+                break (reason, retry_after);
             }
         };
         tried.push(choice.target);
         let start = clock::now();
-        let guard = AttemptGuard::new(gateway, &choice);
+        let guard = AttemptGuard::new(gateway, job.route.service, &choice);
         let timer = async {
             gateway.wait_for_deadline(job.deadline).await;
             None
@@ -138,18 +134,35 @@
     }
 }
 
-fn choose_target(gateway: &Gateway, job: &Job, tried: &[TargetId]) -> Result<Choice, Refusal> {
-    let now = clock::now();
-    let query = Query {
-        service: job.route.service,
-        route: xxh3_64(job.route.name.as_bytes()),
-        object: job.route.object,
-        allowed_regions: job.access.allowed_regions(job.route.allowed_regions),
-        tried,
-        latency_objective: job.route.latency_objective,
-        time_left: job.deadline.since(now),
-    };
-    gateway.state().balancer.choose(now, &query)
+/// The reason of a refusal, when the request may come back, and log fields.
+fn refuse(job: &Job, unplaced: Unplaced, is_first: bool) -> (Reason, Option<Span>, Option<Value>) {
+    let without_target = if is_first { Reason::NoTarget } else { Reason::Shed };
+    match unplaced {
+        Unplaced::Refused(Refusal::NoTarget) => (without_target, None, None),
+        Unplaced::Refused(Refusal::TurnedAway(wait)) => {
+            (without_target, Some(wait), Some(turned_away_fields(job, wait)))
+        }
+        Unplaced::Refused(Refusal::Full(full)) => {
+            let wait = full.retry_after.min(MAX_RETRY_AFTER);
+            (Reason::DeadlineTooClose, Some(wait), Some(refusal_fields(job, full)))
+        }
+        Unplaced::Crowded(wait) => {
+            let wait = wait.min(MAX_RETRY_AFTER);
+            (Reason::DeadlineTooClose, Some(wait), Some(crowded_fields(job, wait)))
+        }
+        Unplaced::Stopping => (Reason::Stopping, None, None),
+    }
+}
+
+/// Log fields of a request refused because of the requests that wait before it.
+fn crowded_fields(job: &Job, wait: Span) -> Value {
+    json!({
+        "service": job.route.service_name,
+        "config": job.route.version,
+        "priority": job.route.priority,
+        "wait_ms": wait.as_millis(),
+        "result": "too many requests wait before it",
+    })
 }
 
 /// Log fields of a request refused because no target has a free slot in time.
--- a/crates/gateway/src/request/read.rs
+++ b/crates/gateway/src/request/read.rs
@@ -106,6 +106,7 @@
         idempotent: route.idempotent,
         is_public,
         priority: route.priority,
+        is_most_urgent: false,
         attempt_limit: route.attempt_limit,
         latency_objective: route.latency_objective,
         allowed_regions: RegionSet::ANY,
@@ -114,6 +115,8 @@
     };
     let allowed_regions = route.allowed_regions.clone();
     matched.allowed_regions = state.balancer.region_set(&allowed_regions);
+    matched.is_most_urgent =
+        state.route_table.is_most_urgent(&matched.service_name, matched.priority);
     matched.service = state.balancer.service_id(&matched.service_name);
     Ok((matched, access, tenant))
 }
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -255,6 +255,7 @@
         }
         self.metrics.era.set(state.era.era().number() as i64);
         self.metrics.held_targets.set(state.hold.targets.len() as i64);
+        self.metrics.waiting.set(self.waiting.borrow().queue.len() as i64);
         self.metrics.in_flight.set(self.in_flight.get() as i64);
         self.metrics.connections.set(self.connections.count() as i64);
         self.metrics.body_bytes.set(self.bodies.used() as i64);
