--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -109,7 +109,10 @@
         .spawn(async move {
             let place = Rc::new(place);
             serve_connection_until_stop(&gateway, &place, handle).await;
-            discard_rest(&mut place.socket()).await;
+            // A kept connection must close at once: its caller may still send a request on it.
+            if place.is_body_unread() {
+                discard_rest(&mut place.socket()).await;
+            }
         })
         .detach();
 }
@@ -122,11 +125,13 @@
     F: Future<Output = Response<Body>>,
 {
     let limits = gateway.state().limits;
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
         let busy = Busy::new(place);
+        let has_body = !request.body().is_end_stream();
         let response = handle(gateway.clone(), request);
-        async {
+        async move {
             let response = response.await;
+            busy.0.set_body_unread(has_body && !response.status().is_success());
             Ok::<_, Infallible>(response.map(|body| Tracked { body, _busy: busy }))
         }
     });
--- a/crates/gateway/src/listener/table.rs
+++ b/crates/gateway/src/listener/table.rs
@@ -61,6 +61,7 @@
     body_bytes: Cell<usize>,
     is_busy: Cell<bool>,
     is_write_blocked: Cell<bool>,
+    is_body_unread: Cell<bool>,
     is_closing: Cell<bool>,
 }
 
@@ -122,6 +123,7 @@
             body_bytes: Cell::new(0),
             is_busy: Cell::new(false),
             is_write_blocked: Cell::new(false),
+            is_body_unread: Cell::new(false),
             is_closing: Cell::new(false),
         });
         self.entries.borrow_mut().insert(id, entry.clone());
@@ -174,6 +176,16 @@
         self.entry.socket.clone()
     }
 
+    /// Whether the last request was refused and may have left a part of its body unread.
+    pub fn is_body_unread(&self) -> bool {
+        self.entry.is_body_unread.get()
+    }
+
+    /// Records whether the last request may have left a part of its body unread.
+    pub fn set_body_unread(&self, is_body_unread: bool) {
+        self.entry.is_body_unread.set(is_body_unread);
+    }
+
     /// Records received bytes.
     pub fn record_read(&self, bytes: usize) {
         let entry = &self.entry;
