Refuse waiting requests only for those that go before them

A request whose expected latency exceeds its deadline was refused although nobody waited before it: the expectation is an average, and the balancer allows for work that is shorter.

--- a/crates/core/src/pressure.rs
+++ b/crates/core/src/pressure.rs
@@ -63,7 +63,8 @@
     queue_wait: Span,
     is_most_urgent: bool,
 ) -> Verdict {
-    if now + queue_wait + estimate.latency > request.deadline {
+    // Without others before it, the request may still be answered sooner than on average.
+    if queue_wait > Span::ZERO && now + queue_wait + estimate.latency > request.deadline {
         return Verdict::Refuse(queue_wait);
     }
     if estimate.wait == Span::ZERO && queue_wait == Span::ZERO {
