--- a/crates/gateway/tests/tenants.rs
+++ b/crates/gateway/tests/tenants.rs
@@ -418,6 +418,13 @@
     for gateway in [&gateway, &other] {
         wait_version(gateway, 4);
     }
+    wait_until("one of them copies the configuration from the other one", || {
+        let mut logs = [&gateway, &other].into_iter().map(|gateway| gateway.log.lock().unwrap());
+        let is_copied = |line: &Value| {
+            line["event"] == 207 && line["kind"] == "config" && line["source"] != "store"
+        };
+        logs.any(|log| log.iter().any(is_copied))
+    });
     wait_until("the other machine knows the target", || {
         other.log.lock().unwrap().iter().any(|line| line["event"] == 500)
     });
@@ -453,6 +460,25 @@
     }
 }
 
+/// Operators find out from the lines whose requests are refused, and with which priority.
+#[test]
+fn tenant_lines() {
+    let (_store, gateway) = start(&[]);
+    let cases = [
+        ("hush-1", "/safe/a", Some(("acme", 3))),
+        ("hush-3", "/safe/a", Some(("bolt", 1))),
+        ("hush-9", "/open/a", None),
+    ];
+    for (index, (name, path, expected)) in cases.into_iter().enumerate() {
+        let id = format!("id-{index}");
+        assert_eq!(send(&gateway, path, &id, &key(name)).status(), 503);
+        wait_until("the refusal is logged", || !gateway.log_lines(&id).is_empty());
+        let line = &gateway.log_lines(&id)[0];
+        let found = line["tenant"].as_str().zip(line["priority"].as_u64());
+        assert_eq!(found, expected, "{line}");
+    }
+}
+
 /// Requests without a key must not fill the log. The metrics count each of them.
 #[test]
 fn many_rejections() {
