Pass on what a restored store has forgotten

A copy now gives the later known state of objects that the restored store lists in an older one, and names the evacuations that are kept, for the time of the hold. It takes no further call or message. A list that is read again in the same era is taken as the first one is.

--- a/crates/core/src/evacuation.rs
+++ b/crates/core/src/evacuation.rs
@@ -10,7 +10,7 @@
 use std::collections::HashSet;
 
 use crate::era::HOLD_TIME;
-use crate::time::Instant;
+use crate::time::{Instant, Span};
 
 /// The evacuated data centres, by name.
 #[derive(Debug, Default)]
@@ -61,6 +61,19 @@
         self.hold_until = Some(now + HOLD_TIME);
     }
 
+    /// The evacuations that are in force only because of a hold, and the time that is left of it.
+    pub fn kept(&self, now: Instant) -> Option<(Span, Vec<String>)> {
+        let left = self.hold_until?.since(now);
+        (!self.kept.is_empty()).then(|| (left, self.kept.iter().cloned().collect()))
+    }
+
+    /// Records that another machine keeps these evacuations in force for the time `left`. It may
+    /// have learned of them while this machine was cut off, or before this process started.
+    pub fn keep(&mut self, now: Instant, left: Span, names: impl IntoIterator<Item = String>) {
+        self.kept.extend(names.into_iter().filter(|name| !self.listed.contains(name)));
+        self.hold_until = self.hold_until.max(Some(now + left.min(HOLD_TIME)));
+    }
+
     /// Ends a hold whose time is over. Returns whether there was one.
     pub fn end_hold(&mut self, now: Instant) -> bool {
         if self.hold_until.is_none_or(|until| now < until) {
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -90,3 +90,19 @@
     evacuations.restore(start() + HOLD_TIME + LATER, set(&["a"]));
     assert_eq!(evacuations.in_force(), set(&[]), "it had ended before the second restore");
 }
+
+/// A process that has just started learns from another machine what the store has forgotten, and
+/// keeps it no longer than any hold.
+#[test]
+fn passed_on() {
+    let mut source = evacuations(&["a", "b"], &[]);
+    source.restore(start(), set(&["b"]));
+    let (left, names) = source.kept(start() + LATER).unwrap();
+    assert!(left < HOLD_TIME);
+    let mut copy = evacuations(&["b"], &[]);
+    copy.keep(start(), Span::MAX, names);
+    assert_eq!(copy.in_force(), set(&["a", "b"]));
+    assert!(copy.end_hold(start() + HOLD_TIME));
+    assert_eq!(copy.in_force(), set(&["b"]));
+    assert_eq!(copy.kept(start()), None);
+}
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -23,11 +23,34 @@
 /// An object of the copy.
 #[derive(Debug)]
 struct Entry {
+    /// What the store lists.
     object: Rc<Object>,
+    /// What machines that poll this one get instead, until the store's object changes.
+    substitute: Option<Substitute>,
     /// Revision of the copy since which the object is as it is.
     revision: u64,
 }
 
+/// What a machine knows of an object that a restored store lists in an older state.
+#[derive(Debug)]
+enum Substitute {
+    /// A later state.
+    Later(Rc<Object>),
+    /// It was removed.
+    Nothing,
+}
+
+impl Entry {
+    /// The object for machines that poll this one.
+    fn shared(&self) -> Option<&Rc<Object>> {
+        match &self.substitute {
+            None => Some(&self.object),
+            Some(Substitute::Later(object)) => Some(object),
+            Some(Substitute::Nothing) => None,
+        }
+    }
+}
+
 /// A deleted object, of which only the metadata is kept.
 #[derive(Debug)]
 struct Deletion {
@@ -41,6 +64,8 @@
 pub struct Difference {
     /// Objects that are new or have changed.
     pub changed: Vec<Rc<Object>>,
+    /// What was known of the changed ones before, in the same order.
+    pub previous: Vec<Option<Rc<Object>>>,
     /// Objects that are gone.
     pub removed: Vec<Rc<Object>>,
 }
@@ -134,6 +159,22 @@
             || known.revision < self.changed_revision
     }
 
+    /// Gives machines that poll this one the earlier known state of an object, or none if it was
+    /// removed, until the store's object changes.
+    pub fn substitute(&mut self, name: &str, known: Option<Rc<Object>>) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.substitute = Some(known.map_or(Substitute::Nothing, Substitute::Later));
+            self.encoded.clear();
+        }
+    }
+
+    /// Keeps an object that a restored store does not list.
+    pub fn keep(&mut self, object: Rc<Object>) {
+        let entry = Entry { object, substitute: None, revision: self.revision };
+        self.entries.insert(entry.object.metadata.name.clone(), entry);
+        self.encoded.clear();
+    }
+
     /// Applies changes, each an object and whether it was deleted, that lead to `revision` of the
     /// copy's era.
     pub fn apply(&mut self, revision: u64, changes: impl IntoIterator<Item = (Rc<Object>, bool)>) {
@@ -155,7 +196,8 @@
         let name = &object.metadata.name;
         self.deletions.retain(|deletion| deletion.object.metadata.name != *name);
         if !is_deleted {
-            self.entries.insert(name.clone(), Entry { object, revision });
+            let name = name.clone();
+            self.entries.insert(name, Entry { object, substitute: None, revision });
             return;
         }
         self.entries.remove(name);
@@ -185,6 +227,9 @@
             self.entries.get(&object.metadata.name).is_none_or(|known| *known.object != *object)
         };
         let changed: Vec<Rc<Object>> = objects.into_values().filter(differs).map(Rc::new).collect();
+        let known = |object: &Rc<Object>| self.entries.get(&object.metadata.name);
+        let previous =
+            changed.iter().map(|object| known(object).and_then(Entry::shared).cloned()).collect();
         let is_first = self.revision == 0;
         for object in &removed {
             self.record(revision, object.clone(), true);
@@ -204,7 +249,7 @@
         }
         self.era = stamp.era;
         self.set_revision(revision);
-        Difference { changed, removed }
+        Difference { changed, previous, removed }
     }
 
     /// Encodes the changes after `known`, or the full list if those are no longer all kept.
@@ -226,12 +271,14 @@
 
     fn encode(&self, known_revision: u64) -> Vec<u8> {
         if known_revision < self.compacted_revision || known_revision == 0 {
-            return object::encode_list(self.objects(), self.revision);
+            let shared = self.entries.values().filter_map(Entry::shared);
+            return object::encode_list(shared.map(|object| &**object), self.revision);
         }
         let deletions = self.deletions.iter().filter(|entry| entry.revision > known_revision);
         let changed = self.entries.values().filter(|entry| entry.revision > known_revision);
         let events = deletions.map(|deletion| (&deletion.object, true));
-        let events = events.chain(changed.map(|entry| (&*entry.object, false)));
+        let changed = changed.filter_map(Entry::shared);
+        let events = events.chain(changed.map(|object| (&**object, false)));
         object::encode_changes(events, self.revision)
     }
 }
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -38,6 +38,12 @@
 /// Era of the store that the copy of the machine that replies reflects; not sent for era 0.
 const COPY_ERA: HeaderName = HeaderName::from_static("copy-era");
 
+/// Evacuations that the machine that replies keeps in force although the restored store does not
+/// list them: milliseconds and names, as JSON.
+const COPY_KEPT: HeaderName = HeaderName::from_static("copy-kept");
+/// Limit on the length of the names in [`COPY_KEPT`], well below the limit on a reply's head.
+const MAX_KEPT_BYTES: usize = 2_000;
+
 /// Status of the reply of a machine that has no copy yet.
 const NO_COPY_YET: StatusCode = StatusCode::TOO_EARLY;
 
@@ -100,9 +106,25 @@
     if era != Era::default() {
         headers.insert(COPY_ERA, HeaderValue::from(era.number()));
     }
+    if kind == Kind::Evacuation && known.revision == 0 {
+        let kept = state.evacuations.kept(now);
+        headers.extend(kept.and_then(encode_kept).map(|value| (COPY_KEPT, value)));
+    }
     Ok(response)
 }
 
+/// Encodes evacuations that are kept for a time. None if the names are too long or no header text.
+fn encode_kept((left, names): (Span, Vec<String>)) -> Option<HeaderValue> {
+    let text = serde_json::to_string(&(left.as_millis(), names)).ok()?;
+    (text.len() <= MAX_KEPT_BYTES).then(|| HeaderValue::from_str(&text).ok()).flatten()
+}
+
+fn scan_kept(headers: &HeaderMap) -> Option<(Span, Vec<String>)> {
+    let text = headers.get(COPY_KEPT)?.to_str().ok()?;
+    let (ms, names): (u32, Vec<String>) = serde_json::from_str(text).ok()?;
+    Some((Span::from_millis(ms.into()), names))
+}
+
 fn scan_path(path: &str) -> Option<(Kind, Stamp)> {
     let (label, stamp) = path.strip_prefix(PATH_PREFIX)?.split_once('/')?;
     Some((Kind::from_label(label)?, stamp.parse().ok()?))
@@ -141,6 +163,12 @@
         let origin = origin.ok_or_else(|| Error::NoReply("the reply states no age".to_owned()))?;
         gateway.check_era(origin.era, Source::Peer(address))?;
         apply_reply(gateway, self.kind, known, origin.era, reply.body())?;
+        if self.kind == Kind::Evacuation
+            && known.revision == 0
+            && let Some((left, names)) = scan_kept(reply.headers())
+        {
+            gateway.keep_evacuations(left, names);
+        }
         self.client = Some(client);
         Ok(origin)
     }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -365,6 +365,9 @@
         };
         if is_restored {
             self.apply_restored(kind, &difference);
+        } else if kind == Kind::Target && self.has_seen_restore() {
+            self.apply_restored_targets(&difference);
+            self.apply(kind, &[], &difference.removed);
         } else {
             self.apply(kind, &difference.changed, &difference.removed);
         }
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -142,8 +142,11 @@
         state.hold.targets.remove(name);
         let Some(spec) = spec else {
             // What was known before may be in use until the target has written a valid entry again.
-            if state.balancer.find_target(name).is_some() {
-                state.hold.targets.insert(name.clone());
+            let is_known = state.balancer.find_target(name).is_some();
+            let is_held = state.hold.is_open;
+            let names = if is_held { &mut state.hold.targets } else { &mut state.unlisted };
+            if is_known {
+                names.insert(name.clone());
             }
             return false;
         };
--- a/crates/gateway/src/sync/era.rs
+++ b/crates/gateway/src/sync/era.rs
@@ -2,14 +2,13 @@
 //! for how long what was known before stays in force. docs/design/store-rollback.md describes it.
 
 use std::collections::HashSet;
-use std::rc::Rc;
 
 use bytes::Bytes;
 use ebonypass_core::era::{Era, HOLD_TIME, Sighting, Stamp};
 use ebonypass_core::time::{Instant, Span};
 use ebonypass_node::clock;
 use ebonypass_node::event::Event;
-use ebonypass_platform::object::{Kind, Object};
+use ebonypass_platform::object::Kind;
 use hyper::Response;
 use serde_json::json;
 
@@ -30,8 +29,8 @@
     pub targets: HashSet<String>,
     /// End of the hold; none before the first one.
     pub until: Option<Instant>,
-    /// Whether the end of the hold has been logged.
-    is_open: bool,
+    /// Whether the hold has not ended.
+    pub is_open: bool,
 }
 
 impl Gateway {
@@ -108,9 +107,8 @@
     pub(super) fn apply_restored(&self, kind: Kind, difference: &Difference) {
         let now = clock::now();
         let (kept, ignored) = match kind {
-            // A lower version than the one in force is never installed.
             Kind::Config => {
-                self.apply(kind, &difference.changed, &[]);
+                self.apply_restored_config(difference);
                 return;
             }
             Kind::Machine => return,
@@ -124,7 +122,7 @@
                 held
             }
             Kind::Target => {
-                let ignored = self.apply_restored_targets(&difference.changed);
+                let ignored = self.apply_restored_targets(difference);
                 let mut state = self.state();
                 for object in &difference.removed {
                     let name = &object.metadata.name;
@@ -142,11 +140,50 @@
         self.log.record(Event::HoldStarted, fields);
     }
 
-    /// Applies the entries of targets that differ in the first list of a new era. Returns how many
-    /// are not later than what is known. There may be one for each target, so they get no lines of
-    /// their own.
-    fn apply_restored_targets(&self, changed: &[Rc<Object>]) -> usize {
-        changed.iter().filter(|object| !self.apply_restored_target(object)).count()
+    /// Applies the configuration of a restored store. A lower version than the one in force is not
+    /// installed, and machines that poll this one get what is in force here.
+    fn apply_restored_config(&self, difference: &Difference) {
+        for (object, previous) in difference.changed.iter().zip(&difference.previous) {
+            let before = self.state().version;
+            self.apply(Kind::Config, std::slice::from_ref(object), &[]);
+            let mut state = self.state();
+            if state.version == before && previous.is_some() {
+                let mirror = state.mirrors.entry(Kind::Config).or_default();
+                mirror.substitute(&object.metadata.name, previous.clone());
+            }
+        }
+        let mut state = self.state();
+        let mirror = state.mirrors.entry(Kind::Config).or_default();
+        difference.removed.iter().for_each(|object| mirror.keep(object.clone()));
+    }
+
+    /// Applies the entries of targets that differ in a list of a store that was restored. Returns
+    /// how many are not later than what is known. There may be one for each target, so they get no
+    /// lines of their own.
+    pub(super) fn apply_restored_targets(&self, difference: &Difference) -> usize {
+        let mut ignored = 0;
+        for (object, previous) in difference.changed.iter().zip(&difference.previous) {
+            if !self.apply_restored_target(object) {
+                ignored += 1;
+                let mut state = self.state();
+                let mirror = state.mirrors.entry(Kind::Target).or_default();
+                mirror.substitute(&object.metadata.name, previous.clone());
+            }
+        }
+        ignored
+    }
+
+    /// Whether the store was restored in the lifetime of this process, so that its lists may hold
+    /// entries of targets that are older than what is known.
+    pub(super) fn has_seen_restore(&self) -> bool {
+        self.state().hold.until.is_some()
+    }
+
+    /// Records evacuations that another machine keeps in force although the restored store does not
+    /// list them.
+    pub(crate) fn keep_evacuations(&self, left: Span, names: Vec<String>) {
+        self.state().evacuations.keep(clock::now(), left, names);
+        self.apply_evacuations();
     }
 
     /// Ends holds whose time is over.
--- a/crates/gateway/tests/store_rollback.rs
+++ b/crates/gateway/tests/store_rollback.rs
@@ -309,6 +309,42 @@
     });
 }
 
+/// A process that starts after the restore learns from other machines what the store has forgotten:
+/// that a target leaves or is gone, that a data centre is evacuated, and the configuration.
+#[test_case("draining"; "a leaving target")]
+#[test_case("removed"; "a removed target")]
+#[test_case("evacuated"; "an evacuation")]
+#[test_case("configured"; "a configuration")]
+fn start_after_restore(what: &str) {
+    let target = Target::new("t-1", NORMAL);
+    let store = new_store();
+    check_in(&store, &target, 1, "ready");
+    let snapshot = store.snapshot();
+    let first = Gateway::start_as(&store, "vm-1");
+    knows_targets(&first, 1);
+    thread::sleep(Duration::from_millis(2_200));
+    match what {
+        "draining" => check_in(&store, &target, 2, "draining"),
+        "removed" => store.remove("servers", "t-1"),
+        "evacuated" => store.put("evacuations", "zrh-a", json!({ "spec": {} })),
+        _ => store.put("config", "main", config(3, &[("/new/", "safe", "s")])),
+    }
+    let path = if what == "configured" { "/safe/a" } else { "/safe/b" };
+    wait_until("the change is in force", || [404, 503].contains(&status(&first, path)));
+    let before = target.count();
+    store.restore(&snapshot);
+    wait_for_list(&first, "target", 2);
+    wait_for_list(&first, "evacuation", 2);
+    let second = Gateway::start_with_seeds(&store, "vm-2", &[&first]);
+    second.wait_ready();
+    // Within the hold of the first machine.
+    for _ in 0..10 {
+        assert_eq!(status(&second, path), status(&first, path));
+        assert_ne!(status(&second, path), 200);
+    }
+    assert_eq!(target.count(), before, "the target got requests");
+}
+
 /// Machines that do not reach the store while it is restored follow those that do, and pass nothing
 /// of the earlier era on to them.
 #[test]
@@ -444,6 +480,27 @@
     assert_eq!(metric(&gateway, "ebonypass_store_era"), 1);
 }
 
+/// Machines that poll others follow a new store too.
+#[test]
+fn decreasing_era_in_fleet() {
+    let target = Target::new("t-1", NORMAL);
+    let store = new_store();
+    store.set_era(4);
+    check_in(&store, &target, 1, "ready");
+    let gateways = Gateway::start_all(&store, 4);
+    gateways.iter().for_each(|gateway| knows_targets(gateway, 1));
+    store.set_era(1);
+    store.put("config", "main", config(3, &[("/safe/", "safe", "s"), ("/new/", "safe", "s")]));
+    for gateway in &gateways {
+        wait_for(gateway, STORE_REPLACED);
+        wait_until("the new store's configuration is in force", || status(gateway, "/new/") == 200);
+        assert_eq!(send_many(gateway), NO_FAILURES);
+    }
+    for gateway in &gateways {
+        assert_eq!(metric(gateway, "ebonypass_store_era"), 1);
+    }
+}
+
 /// Statuses of an overloaded store may come from something in front of it that states no era.
 #[test]
 fn refusals_without_era() {
