Restore the store in the soak

Restores have a thread and a generator of their own, so that the other faults of a seed stay as they were. The replies to polls without an era wait now, so that a machine of an earlier version does not poll in a tight loop.

--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -91,7 +91,9 @@
         return Ok(empty_reply(StatusCode::SERVICE_UNAVAILABLE));
     }
     let is_newer = mirror.stamp() > known;
-    let mut response = if mirror.has_changes_since(known) && is_newer {
+    // A machine of a version that knows no eras gets the whole list each time, so each poll waits.
+    let knows_eras = known.era != Era::default() || known.revision == 0 || era == known.era;
+    let mut response = if mirror.has_changes_since(known) && is_newer && knows_eras {
         Response::new(Body::whole(mirror.encode_since(known)))
     } else if known.era <= era && now < deadline {
         return Err(deadline.min(mirror.expires_at()));
--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -1,6 +1,6 @@
 //! Randomized soak test: real gateway processes and callers with persistent connections, under
 //! injected faults: signals, links that are delayed, reset, blocked in one or both directions,
-//! store errors and faulty targets. Guards the guarantees to callers and targets during and after
+//! store errors, restores of the store from an older snapshot, and faulty targets. Guards the guarantees to callers and targets during and after
 //! such faults.
 //!
 //! `EBONYPASS_SOAK_SEEDS=10..60` runs these seeds instead of the short run of CI.
@@ -12,7 +12,7 @@
 use std::collections::HashMap;
 use std::io::{BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -122,11 +122,14 @@
     machines: Vec<Machine>,
     seeds: Vec<SocketAddr>,
     fault_log: Mutex<Vec<String>>,
+    /// Generation of the last configuration.
+    generation: AtomicU64,
 }
 
 impl Fleet {
     fn new() -> Arc<Fleet> {
         let store = Store::new();
+        store.set_era(1);
         let store_proxy = Proxy::new(store.address);
         store.put("config", "main", config(2, &routes(0)));
         let targets: Vec<Target> = (0..TARGET_COUNT)
@@ -158,7 +161,17 @@
         });
         let machines = machines.collect();
         let fault_log = Mutex::default();
-        Arc::new(Fleet { store, store_proxy, targets, proxies, machines, seeds, fault_log })
+        let generation = AtomicU64::new(0);
+        Arc::new(Fleet {
+            store,
+            store_proxy,
+            targets,
+            proxies,
+            machines,
+            seeds,
+            fault_log,
+            generation,
+        })
     }
 
     fn restart_process(&self, machine: &Machine) {
@@ -281,6 +294,27 @@
     violations
 }
 
+/// Restores the store from snapshots until `is_over`. What the operator and the targets wrote is
+/// written again by them soon after. These faults have a thread and a generator of their own, as
+/// those of [`run_targets`].
+fn run_restores(fleet: &Fleet, mut random: Random, is_over: &AtomicBool) {
+    while !is_over.load(Ordering::SeqCst) {
+        thread::sleep(random.span(500, 2_500));
+        let snapshot = fleet.store.snapshot();
+        let age = random.span(200, 2_000);
+        thread::sleep(age);
+        fleet.fault_log.lock().unwrap().push(format!("restore of a snapshot {age:?} old"));
+        fleet.store.restore(&snapshot);
+        thread::sleep(random.span(100, 2_500));
+        let generation = fleet.generation.load(Ordering::SeqCst);
+        fleet.store.put("config", "main", config(generation + 2, &routes(generation)));
+        for (target, proxy) in fleet.targets.iter().zip(&fleet.proxies) {
+            let entry = target.entry_with_address(proxy.address, "s", "ready");
+            fleet.store.put("servers", &target.id, entry);
+        }
+    }
+}
+
 /// Requests that reached a target after their gateway had passed on that the target is leaving.
 fn late_requests(fleet: &Fleet, observations: &[Observation]) -> Vec<String> {
     let mut told: HashMap<(usize, &str), Instant> = HashMap::new();
@@ -454,6 +488,9 @@
     let (words_fleet, words_over) = (fleet.clone(), is_over.clone());
     let words = Random(seed.wrapping_mul(7_919) + 17);
     let words = thread::spawn(move || run_targets(&words_fleet, words, &words_over));
+    let (restores_fleet, restores_over) = (fleet.clone(), is_over.clone());
+    let restores = Random(seed.wrapping_mul(6_151) + 29);
+    let restores = thread::spawn(move || run_restores(&restores_fleet, restores, &restores_over));
     let mut random = Random(seed);
     let mut fault_threads = Vec::new();
     let start = Instant::now();
@@ -462,6 +499,7 @@
         fault_threads.push(fleet.inject_fault(&mut random));
         if random.below(3) == 0 {
             generation += 1;
+            fleet.generation.store(generation, Ordering::SeqCst);
             fleet.store.put("config", "main", config(generation + 2, &routes(generation)));
         }
         thread::sleep(random.span(50, 700));
@@ -473,6 +511,7 @@
     let mut violations = violations(&fleet, &observations);
     violations.extend(late_requests(&fleet, &observations));
     violations.extend(words.join().unwrap());
+    restores.join().unwrap();
     if failed > 0 {
         violations.push(format!("{failed} faults could not be injected or undone"));
         return violations;
