Share the load on targets between the gateways of a region

A gateway knows the load of a target only from replies to itself, all of them choose by the same order, and load counts only once a request has to wait: a few targets with popular objects are overloaded while others are idle.

core::balance keeps the in-flight counts that the gateways of a region report to each other, and corrects their sum by the targets' own figures. Where it is switched on, load counts below capacity too, a popular object gets more than two targets, a further position costs little where caches have room, and a target without the object gets a request at the first attempt only if it is nearly idle. Without set_shared_load, choices are as before.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -12,6 +12,7 @@
 mod ranking;
 mod record;
 mod registry;
+mod sharing;
 
 use std::collections::{HashMap, HashSet};
 
@@ -22,6 +23,8 @@
 use crate::work::Service;
 pub use query::{Backlog, Choice, Query, Refusal, RegionSet};
 pub use ranking::COLD_TARGET_SENDERS;
+use sharing::Sharing;
+pub use sharing::Spread;
 
 /// Round trip time to another region until one has been measured.
 const INITIAL_REMOTE_ROUND_TRIP_MS: f64 = 50.0;
@@ -61,6 +64,7 @@
     attempt_count: u64,
     machine: String,
     live_machines: Vec<String>,
+    sharing: Sharing,
 }
 
 /// Settings of a balancer.
@@ -100,6 +104,7 @@
             min_local_round_trip_ms: INITIAL_LOCAL_ROUND_TRIP_MS,
             attempt_count: 0,
             live_machines: vec![config.machine.clone()],
+            sharing: Sharing::new(&config.machine),
             machine: config.machine,
         }
     }
--- a/crates/core/src/balancer/query.rs
+++ b/crates/core/src/balancer/query.rs
@@ -44,6 +44,8 @@
     pub target: TargetId,
     /// The expected time until a slot is free.
     pub expected_wait: Span,
+    /// Whether the request may have to wait for a slot.
+    pub may_wait: bool,
     /// The expected time until the reply.
     pub expected_latency: Span,
     /// The expected work time.
--- a/crates/core/src/balancer/ranking.rs
+++ b/crates/core/src/balancer/ranking.rs
@@ -7,9 +7,10 @@
 use super::Balancer;
 use super::query::{Backlog, Choice, Query, Refusal};
 use crate::availability::State;
+use crate::balance::Copies;
 use crate::capacity;
 use crate::id::TargetId;
-use crate::target::{as_ms, span_from_ms};
+use crate::target::{MAX_WAITING_PER_SLOT, as_ms, span_from_ms};
 use crate::time::{Instant, Span};
 use crate::work::CACHING_TARGETS;
 
@@ -22,10 +23,20 @@
 /// only for a real wait: the copy there stays in use, fewer connections are needed, and where cache
 /// space is short a second copy does not evict other objects.
 const POSITION_PENALTY: f64 = 1.0;
+/// The same if load is shared and there is room for the copies. With 1.0, the busiest target of the
+/// simulations in tests/even_load.rs had 1.81 times the mean load instead of 1.24.
+const SHARED_POSITION_PENALTY: f64 = 0.05;
+/// If load is shared, the cost in mean work times of each request per slot. Without it, load counts
+/// only where a request has to wait, and the busiest target had 1.43 times the mean load.
+const LOAD_PENALTY: f64 = 3.0;
+/// If load is shared, requests per slot up to which a target that does not cache the object gets a
+/// request at the first attempt. Up to 1.0, uncached work was 2.9% instead of 1.1% of the work.
+const MAX_SPILL_LOAD: f64 = 0.25;
+/// If load is shared, requests per slot up to which the duration of an attempt counts as work time.
+/// Above it, it may include a wait, as the load is not known exactly.
+const MAX_UNQUEUED_LOAD: f64 = 0.5;
 /// Added to the latency for each point of the failure score, in work times.
 const FAILURE_PENALTY: f64 = 1.5;
-/// Requests per slot that may wait at a target before it counts as full.
-const MAX_WAITING_PER_SLOT: f64 = 3.0;
 /// Factor on the work time at a cold (recently started) target.
 const COLD_WORK_FACTOR: f64 = 2.0;
 /// The part of the expected work time by which work is often shorter: for learned work times, and
@@ -42,12 +53,16 @@
     target: TargetId,
     /// The latency plus the cost of the choice to other requests.
     cost_ms: f64,
+    /// The part of the cost that is due to the load of the target, if load is shared.
+    load_ms: f64,
     /// Whether so many requests wait there that it would shed another one.
     is_queue_full: bool,
     latency_ms: f64,
     /// The time by which the latency is often shorter.
     variation_ms: f64,
     wait_ms: f64,
+    /// Whether the request may have to wait for a slot.
+    may_wait: bool,
     work_ms: f64,
     position: usize,
     is_cached: bool,
@@ -76,6 +91,17 @@
     if weight > 0.0 { -uniform.ln() / weight } else { f64::INFINITY }
 }
 
+/// Makes the load count only between targets that cache the object. Others are not chosen because
+/// they are less busy: the longer work there would take more from other requests than it spares.
+fn compare_without_load(ranked: &mut [RankedTarget]) {
+    let cached = ranked.iter().filter(|candidate| candidate.is_cached);
+    let Some(best) = cached.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms)) else { return };
+    let load_ms = best.load_ms;
+    for candidate in ranked.iter_mut().filter(|candidate| !candidate.is_cached) {
+        candidate.cost_ms += (load_ms - candidate.load_ms).max(0.0);
+    }
+}
+
 impl Balancer {
     /// The time after which the first target that has turned this machine away may be used again, if
     /// there is one that may run the request.
@@ -95,6 +121,9 @@
     ///
     /// Errors: [`Refusal`], if there is none.
     pub fn choose(&mut self, now: Instant, query: &Query<'_>) -> Result<Choice, Refusal> {
+        if let (true, Some(object)) = (self.sharing.is_on, query.object) {
+            self.services[query.service].variety.record(now, object);
+        }
         let mut ranked = self.rank_candidates(now, query);
         ranked.retain(|candidate| !query.tried.contains(&candidate.target));
         let target_count = ranked.len();
@@ -125,6 +154,7 @@
         Ok(Choice {
             target: best.target,
             expected_wait: span_from_ms(best.wait_ms),
+            may_wait: best.may_wait,
             expected_latency: span_from_ms(best.latency_ms),
             expected_work_time: span_from_ms(best.work_ms),
             position: best.position,
@@ -134,8 +164,9 @@
         })
     }
 
-    /// Targets that may run the request, in the rendezvous order of its object.
-    fn candidates(&self, now: Instant, query: &Query<'_>) -> Vec<Candidate> {
+    /// Targets that may run the request, in the rendezvous order of its object, and how many of them
+    /// the region may use, counted by its shares.
+    fn candidates(&self, now: Instant, query: &Query<'_>) -> (Vec<Candidate>, f64) {
         let service = &self.services[query.service];
         let mut capacity = vec![0.0; self.regions.len()];
         let mut targets = Vec::with_capacity(service.targets.len());
@@ -149,9 +180,11 @@
             }
         }
         let shares = capacity::shares(self.region, &self.demand_shares, &capacity);
+        let mut usable_targets = 0.0;
         let candidates = targets.into_iter().map(|id| {
             let target = &self.targets[id];
             let share = shares.get(target.region).copied().unwrap_or(0.0);
+            usable_targets += share;
             let weight = share * f64::from(target.spec.slots);
             Candidate {
                 target: id,
@@ -160,7 +193,7 @@
         });
         let mut candidates: Vec<Candidate> = candidates.collect();
         candidates.sort_unstable_by(|a, b| a.key.total_cmp(&b.key));
-        candidates
+        (candidates, usable_targets)
     }
 
     fn rank_candidates(&mut self, now: Instant, query: &Query<'_>) -> Vec<RankedTarget> {
@@ -169,21 +202,36 @@
         let has_object = query.object.is_some();
         let work = service.work_times.get(&query.route).copied().unwrap_or_default();
         let usual_other_requests = service.usual_other_requests(now);
+        let usual_excess = service.usual_excess(now);
+        let is_shared = self.sharing.is_on;
+        let report_weight = self.sharing.report_weight();
+        let (candidates, usable_targets) = self.candidates(now, query);
+        let copies = match query.object {
+            Some(object) if is_shared => service.variety.copies(object, usable_targets),
+            _ => Copies { count: CACHING_TARGETS, has_room: false },
+        };
+        let is_spill_limited = is_shared && query.tried.is_empty();
         let mut ranked = Vec::new();
-        for (position, candidate) in self.candidates(now, query).into_iter().enumerate() {
+        for (position, candidate) in candidates.into_iter().enumerate() {
             let target = &self.targets[candidate.target];
-            let is_cached = has_object && position < CACHING_TARGETS && candidate.key.is_finite();
+            let is_cached = has_object && position < copies.count && candidate.key.is_finite();
             let would_displace = has_object && !is_cached;
             let factor =
                 target.slowdown(now) * if target.is_cold(now) { COLD_WORK_FACTOR } else { 1.0 };
             let work_ms = work.expected_ms(objective_ms, is_cached) * factor;
             let slots = f64::from(target.spec.slots.max(1));
-            let requests =
-                target.in_flight() as f64 + target.other_requests(now, usual_other_requests);
+            let mut other_requests = target.other_requests(now, usual_other_requests);
+            if report_weight > 0.0 {
+                let shared = target.shared.others(now, usual_excess, target.capacity());
+                other_requests += report_weight * (shared - other_requests);
+            }
+            let requests = target.in_flight() as f64 + other_requests;
             // A target that does not cache the object must not queue it: long work in the queue
             // would delay requests for the objects that it caches.
             let waiting = if would_displace { 0.0 } else { MAX_WAITING_PER_SLOT };
-            let is_queue_full = requests >= slots * (1.0 + waiting);
+            let free = if is_spill_limited && would_displace { MAX_SPILL_LOAD } else { 1.0 };
+            let rounding = if is_shared && !would_displace { 0.5 } else { 0.0 };
+            let is_queue_full = requests + rounding >= slots * (free + waiting);
             let mean_ms = service.mean_ms.unwrap_or(objective_ms) * factor;
             let wait_ms = (requests + 1.0 - slots).max(0.0) / slots * mean_ms;
             let round_trip_ms = self.round_trip_ms(target);
@@ -191,11 +239,21 @@
             latency_ms += if target.is_remote { REMOTE_PENALTY_MS } else { 0.0 };
             latency_ms += target.failure_score(now) * FAILURE_PENALTY * work_ms;
             latency_ms += if target.is_overdue(now) { mean_ms * 2.0 } else { 0.0 };
-            let penalty = if is_cached { position as f64 * POSITION_PENALTY } else { 0.0 };
+            let position_penalty =
+                if copies.has_room { SHARED_POSITION_PENALTY } else { POSITION_PENALTY };
+            let penalty = if is_cached { position as f64 * position_penalty } else { 0.0 };
             let penalty = if would_displace { UNCACHED_PENALTY } else { penalty };
+            let load_ms = if is_shared {
+                let noise = if would_displace { 0.0 } else { self.sharing.random() };
+                LOAD_PENALTY * (requests + noise) / slots * mean_ms
+            } else {
+                0.0
+            };
+            let may_wait = is_shared && requests + 1.0 > slots * MAX_UNQUEUED_LOAD;
             ranked.push(RankedTarget {
                 target: candidate.target,
-                cost_ms: latency_ms + work_ms * penalty,
+                cost_ms: latency_ms + work_ms * penalty + load_ms,
+                load_ms,
                 is_queue_full,
                 latency_ms,
                 variation_ms: work_ms
@@ -205,11 +263,15 @@
                         INITIAL_WORK_VARIATION
                     },
                 wait_ms,
+                may_wait: may_wait || span_from_ms(wait_ms) > Span::ZERO,
                 work_ms,
                 position,
                 is_cached,
             });
         }
+        if is_shared && has_object {
+            compare_without_load(&mut ranked);
+        }
         let cold_per_s = service.cold_per_s;
         ranked.retain(|candidate| {
             self.targets[candidate.target].may_return()
--- a/crates/core/src/balancer/record.rs
+++ b/crates/core/src/balancer/record.rs
@@ -47,7 +47,7 @@
             expected_ms: as_ms(choice.expected_latency).max(1.0),
             route: choice.route,
             is_cached: choice.is_cached,
-            is_queued: choice.expected_wait > Span::ZERO,
+            is_queued: choice.may_wait,
         });
         Attempt { target: choice.target, number }
     }
@@ -105,6 +105,11 @@
         target.reported_slowdown = f64::from(load.work_time_percent) / 100.0;
         target.reported_slowdown_at = now;
         self.services[target.service].record_other_requests(now, other_requests);
+        if self.sharing.is_on {
+            let service = &mut self.services[target.service];
+            let (usual, limit) = (service.usual_excess(now), target.capacity());
+            service.record_excess(target.shared.record(now, other_requests, usual, limit));
+        }
     }
 
     /// Records the time that connecting to the target took, which is one round trip.
--- a/crates/core/src/balancer/registry.rs
+++ b/crates/core/src/balancer/registry.rs
@@ -4,6 +4,7 @@
 
 use super::Balancer;
 use crate::availability::{Availability, Update};
+use crate::balance::{self, Estimate};
 use crate::id::{ServiceId, TargetId};
 use crate::target::{Target, TargetSpec};
 use crate::time::{Instant, Span};
@@ -26,6 +27,7 @@
             target.measured_slowdown = 1.0;
             target.failure_score = 0.0;
             target.other_requests = 0.0;
+            target.shared.reset();
             target.is_returning = false;
         }
         let (region, is_remote) = self.locate(&spec.centre);
@@ -51,12 +53,14 @@
             region,
             service,
             hash_seed: xxh3_64_with_seed(spec.id.as_bytes(), 0),
+            key: balance::target_key(&spec.id),
             is_remote,
             availability: Availability::new(now, spec.entry()),
             is_returning: false,
             running: Vec::new(),
             other_requests: 0.0,
             other_requests_at: now,
+            shared: Estimate::new(),
             reported_slowdown: 1.0,
             reported_slowdown_at: now,
             measured_slowdown: 1.0,
@@ -69,6 +73,7 @@
         };
         let name = target.spec.id.clone();
         let id = self.targets.push(target);
+        self.sharing.add_target(balance::target_key(&name), id);
         self.targets_by_name.insert(name, id);
         self.services[service].targets.push(id);
         id
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admit;
 pub mod availability;
+pub mod balance;
 pub mod balancer;
 pub mod block;
 pub mod budget;
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -3,10 +3,13 @@
 use std::net::SocketAddr;
 
 use crate::availability::{Availability, Entry, Lifetime, State};
+use crate::balance::Estimate;
 use crate::id::ServiceId;
 use crate::time::{Instant, Span};
 use crate::window;
 
+/// Requests per slot that may wait at a target before it counts as full.
+pub(crate) const MAX_WAITING_PER_SLOT: f64 = 3.0;
 /// Half-life of the measured slowdown and the failure score.
 const EVIDENCE_HALF_LIFE_MS: f64 = 3_000.0;
 /// Time constant of the decay of a load report.
@@ -104,6 +107,8 @@
     pub spec: TargetSpec,
     pub(crate) service: ServiceId,
     pub(crate) hash_seed: u64,
+    /// Key in load reports.
+    pub(crate) key: [u8; 2],
     pub(crate) is_remote: bool,
     pub(crate) availability: Availability,
     pub(crate) region: usize,
@@ -112,6 +117,8 @@
     pub(crate) running: Vec<RunningAttempt>,
     pub(crate) other_requests: f64,
     pub(crate) other_requests_at: Instant,
+    /// Requests of other machines by the reports of the region's gateways.
+    pub(crate) shared: Estimate,
     pub(crate) reported_slowdown: f64,
     pub(crate) reported_slowdown_at: Instant,
     pub(crate) measured_slowdown: f64,
@@ -143,6 +150,11 @@
         self.running.len()
     }
 
+    /// Requests that it runs and queues at most.
+    pub(crate) fn capacity(&self) -> f64 {
+        f64::from(self.spec.slots.max(1)) * (1.0 + MAX_WAITING_PER_SLOT)
+    }
+
     pub(crate) fn is_cold(&self, now: Instant) -> bool {
         self.availability.is_cold(now)
     }
--- a/crates/core/src/work.rs
+++ b/crates/core/src/work.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use crate::balance::{Usual, Variety};
 use crate::id::TargetId;
 use crate::target::{RunningAttempt, decay};
 use crate::time::{Instant, Span};
@@ -38,6 +39,10 @@
     other_requests: f64,
     other_requests_at: Instant,
     pub(crate) cold_per_s: f64,
+    /// Usual excess of the targets' own figures over the reports of the region's gateways.
+    usual_excess: f64,
+    /// The objects that are requested.
+    pub(crate) variety: Variety,
 }
 
 /// Work times of one route at healthy targets.
@@ -80,6 +85,8 @@
             other_requests: 0.0,
             other_requests_at: Instant::ZERO,
             cold_per_s: 0.0,
+            usual_excess: 0.0,
+            variety: Variety::default(),
         }
     }
 
@@ -94,9 +101,22 @@
     /// machine that refuses all requests because of an overload gets no more reports, and would
     /// otherwise refuse requests for ever.
     pub(crate) fn usual_other_requests(&self, now: Instant) -> f64 {
+        self.other_requests * self.report_weight(now)
+    }
+
+    fn report_weight(&self, now: Instant) -> f64 {
         let silent_since = self.other_requests_at + OTHER_REQUESTS_HOLD;
-        self.other_requests
-            * decay(now.max(silent_since), silent_since, OTHER_REQUESTS_TIME_CONSTANT_MS)
+        decay(now.max(silent_since), silent_since, OTHER_REQUESTS_TIME_CONSTANT_MS)
+    }
+
+    /// The usual excess, which decays without reports of targets like the usual requests.
+    pub(crate) fn usual_excess(&self, now: Instant) -> Usual {
+        Usual { excess: self.usual_excess, weight: self.report_weight(now) }
+    }
+
+    /// Records by how much a target's own figure exceeds the reports of the region's gateways.
+    pub(crate) fn record_excess(&mut self, excess: f64) {
+        self.usual_excess += SAMPLE_WEIGHT * (excess - self.usual_excess);
     }
 
     /// Records the work time of an attempt. Returns the average of such attempts before it.
