Test slow downloads, slow uploads, and replies that are cut off

The fake target cuts off a reply that it cannot write for 3 s. The samples of memory move from crowd.rs to fake/watch.rs without a change of crowd or bounds.

--- a/crates/gateway/tests/crowd.rs
+++ b/crates/gateway/tests/crowd.rs
@@ -5,15 +5,14 @@
 mod fake;
 
 use std::io::{BufReader, Read, Write};
-use std::net::{IpAddr, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use fake::{
-    Behaviour, Gateway, Message, ROUTES, Store, TEST_TIMEOUT, Target, config, send_request,
-    wait_until,
+    Behaviour, Gateway, Message, ROUTES, Store, TEST_TIMEOUT, Target, Watch, config, resident_kb,
+    send_request, wait_until,
 };
 use test_case::test_case;
 
@@ -43,71 +42,6 @@
 /// The tests measure memory under load, so they run one at a time.
 static SERIAL: Mutex<()> = Mutex::new(());
 
-/// The highest figures of a process so far.
-#[derive(Debug, Default, Clone, Copy)]
-struct Peak {
-    /// Received bytes that the process has not read, in kB. The platform counts them as memory.
-    unread_kb: u64,
-    descriptors: usize,
-}
-
-/// Samples a process until dropped.
-struct Watch {
-    peak: Arc<Mutex<Peak>>,
-    is_done: Arc<AtomicBool>,
-    sampler: Option<JoinHandle<()>>,
-}
-
-impl Watch {
-    fn new(process: u32, address: IpAddr) -> Watch {
-        let peak: Arc<Mutex<Peak>> = Arc::default();
-        let is_done: Arc<AtomicBool> = Arc::default();
-        let (sampled, stop) = (peak.clone(), is_done.clone());
-        let sampler = thread::spawn(move || {
-            while !stop.load(Ordering::SeqCst) {
-                let unread_kb = unread_bytes(address) >> 10;
-                let descriptors = std::fs::read_dir(format!("/proc/{process}/fd"));
-                let descriptors = descriptors.map_or(0, Iterator::count);
-                let mut peak = sampled.lock().unwrap();
-                peak.unread_kb = peak.unread_kb.max(unread_kb);
-                peak.descriptors = peak.descriptors.max(descriptors);
-                drop(peak);
-                thread::sleep(Duration::from_millis(20));
-            }
-        });
-        Watch { peak, is_done, sampler: Some(sampler) }
-    }
-}
-
-impl Drop for Watch {
-    fn drop(&mut self) {
-        self.is_done.store(true, Ordering::SeqCst);
-        if let Some(sampler) = self.sampler.take() {
-            let _ = sampler.join();
-        }
-    }
-}
-
-/// Bytes in the receive queues of the sockets at `address`.
-fn unread_bytes(address: IpAddr) -> u64 {
-    let IpAddr::V4(address) = address else { return 0 };
-    let local = format!("{:08X}:", u32::from(address).swap_bytes());
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    let queues = table.lines().filter_map(|line| {
-        let mut fields = line.split_whitespace();
-        let is_established = fields.nth(1)?.starts_with(&local) && fields.nth(1)? != "0A";
-        let (_, unread) = fields.next()?.split_once(':')?;
-        is_established.then(|| u64::from_str_radix(unread, 16).ok())?
-    });
-    queues.sum()
-}
-
-fn resident_kb(process: u32) -> u64 {
-    let text = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
-    let line = text.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
-    line.split_whitespace().nth(1).unwrap().parse().unwrap()
-}
-
 /// A gateway with lowered limits, its store and target.
 struct Bed {
     gateway: Gateway,
@@ -187,7 +121,7 @@
         let is_answered = is_answered.join().unwrap();
         let process = self.gateway.child.id();
         let resident = resident_kb(process);
-        let peak = *self.watch.peak.lock().unwrap();
+        let peak = self.watch.peak();
         println!("{resident} kB resident, {peak:?}, ordinary request: {is_answered:?}");
         assert!(!self.gateway.has_ended(), "the process has ended");
         assert!(
--- a/crates/gateway/tests/fake/mod.rs
+++ b/crates/gateway/tests/fake/mod.rs
@@ -7,6 +7,7 @@
 mod gateway;
 pub mod store;
 mod target;
+mod watch;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -18,6 +19,7 @@
 pub use gateway::{CALLERS_PORT, Gateway, unique_address};
 pub use store::Store;
 pub use target::{Behaviour, Target};
+pub use watch::{Peak, Watch, resident_kb};
 
 /// Timeout of every wait in the tests.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(15);
--- a/crates/gateway/tests/fake/target.rs
+++ b/crates/gateway/tests/fake/target.rs
@@ -54,6 +54,9 @@
     Ends(&'static str),
     /// This text, and then the other one without end.
     Endless(&'static str, &'static str),
+    /// A body of as many bytes as the last part of the path says, of which this share in percent is
+    /// sent. Closes the connection if the rest is missing, or if it cannot be written for 3 s.
+    Sized(usize),
     /// The same, a byte every this long.
     Trickles(&'static str, &'static str, Duration),
 }
@@ -75,6 +78,9 @@
     pub closed_early: Arc<AtomicUsize>,
 }
 
+/// A reply that cannot be written for this long is cut off.
+const MAX_WRITE_TIME: Duration = Duration::from_secs(3);
+
 /// Writes until the connection is closed.
 fn write_without_end(writer: &mut TcpStream, start: &str, rest: &str) {
     let block = rest.repeat(16_384 / rest.len().max(1));
@@ -154,9 +160,9 @@
                 behaviour,
                 Behaviour::Sheds | Behaviour::Misdirected | Behaviour::RefusesUntil(_)
             );
+            let path = request.first.split(' ').nth(1).unwrap_or_default().to_owned();
             if !is_not_run {
-                let path = request.first.split(' ').nth(1).unwrap_or_default().to_owned();
-                self.runs.lock().unwrap().push(Run { id: id.clone(), path });
+                self.runs.lock().unwrap().push(Run { id: id.clone(), path: path.clone() });
             }
             self.requests.lock().unwrap().push(request);
             if let Behaviour::Normal(time) = behaviour
@@ -249,6 +255,20 @@
                 Behaviour::Endless(start, rest) => {
                     return write_without_end(&mut writer, &start.replace("{id}", &id), rest);
                 }
+                Behaviour::Sized(percent) => {
+                    let length = path.rsplit('/').next().and_then(|part| part.parse().ok());
+                    let length: usize = length.unwrap_or(2);
+                    let head = format!(
+                        "HTTP/1.1 200 OK\r\n{id_header}X-Server-Signature: 1.2\r\nContent-Length: {length}\r\n\r\n"
+                    );
+                    let body = vec![b'r'; length * percent / 100];
+                    let _ = writer.set_write_timeout(Some(MAX_WRITE_TIME));
+                    let sent = writer.write_all(head.as_bytes());
+                    if sent.and_then(|()| writer.write_all(&body)).is_err() || percent < 100 {
+                        return;
+                    }
+                    continue;
+                }
                 Behaviour::Trickles(start, rest, interval) => {
                     let start = start.replace("{id}", &id);
                     let bytes = start.bytes().chain(rest.bytes().cycle());
