Let accepted connections and datagrams not hold up other tasks

Cause: in a trial with 2,000 clients the loop that accepts connections ran on as long as there were any, so that a body that had lost its memory was ended up to 1 s later, and one place a second became free. A waiting body also looked for stalled ones at each release, and asked for more than was missing.

Change: the loops of the listeners and of the mesh port yield after each connection and datagram. Waiting bodies look for stalled ones every 50 ms. A listener closes connections without a request before those that wait for a further one. What is left of a refused body does not start the time for the next head.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -65,6 +65,11 @@
 }
 
 impl Eviction {
+    /// Whether the reservation was withdrawn.
+    pub fn is_set(&self) -> bool {
+        self.is_set.get()
+    }
+
     /// Waits until the reservation is withdrawn.
     pub async fn wait(&self) {
         loop {
@@ -130,8 +135,8 @@
     }
 
     /// Withdraws the reservations that have made no progress for longest until `bytes` will be
-    /// free. Returns whether there was one.
-    pub fn evict_stalled(&self, bytes: usize) -> bool {
+    /// free.
+    pub fn evict_stalled(&self, bytes: usize) {
         let now = clock::now();
         let mut readers = self.readers.borrow_mut();
         let is_stalled = |reader: &Reader| {
@@ -140,7 +145,6 @@
         // Evicted readers release their memory as soon as their tasks run.
         let leaving = readers.values().filter(|reader| reader.evicted.is_set.get());
         let mut freed: usize = leaving.map(|reader| reader.reserved).sum();
-        let mut is_any = freed > 0;
         while freed < bytes {
             let stalled = readers.values_mut().filter(|reader| !reader.evicted.is_set.get());
             let oldest =
@@ -149,16 +153,19 @@
             reader.evicted.is_set.set(true);
             reader.evicted.signal.notify(usize::MAX);
             freed += reader.reserved.max(1);
-            is_any = true;
         }
-        is_any
     }
 
     /// Whether `bytes` of a reservation, `missing` of them new, fit.
     fn fits(&self, bytes: usize, missing: usize) -> bool {
-        let used = self.used.get() + missing;
+        missing == 0 || self.shortage(bytes, missing) == 0
+    }
+
+    /// How many bytes have to be given back before `bytes` of a reservation, `missing` of them new,
+    /// fit.
+    fn shortage(&self, bytes: usize, missing: usize) -> usize {
         let small = if bytes <= SMALL_BYTES { self.limits.small } else { 0 };
-        missing == 0 || used <= self.limits.total + small
+        (self.used.get() + missing).saturating_sub(self.limits.total + small)
     }
 }
 
@@ -178,6 +185,7 @@
             return false;
         }
         self.set_waiting(true);
+        let mut evict_at = clock::now();
         let is_grown = loop {
             let released = self.budget.released.listen();
             if self.try_grow(bytes) {
@@ -187,9 +195,11 @@
             if now >= deadline {
                 break false;
             }
-            self.budget.evict_stalled(bytes - self.bytes);
-            let end = deadline.min(now + STALL_POLL_INTERVAL);
-            future::or(released, clock::sleep_until(end)).await;
+            if now >= evict_at {
+                self.budget.evict_stalled(self.budget.shortage(bytes, bytes - self.bytes));
+                evict_at = now + STALL_POLL_INTERVAL;
+            }
+            future::or(released, clock::sleep_until(deadline.min(evict_at))).await;
         };
         self.set_waiting(false);
         is_grown
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -8,6 +8,7 @@
 use ebonypass_core::time::Span;
 use ebonypass_node::clock;
 use ebonypass_node::event::Event;
+use futures_lite::future;
 use serde_json::json;
 use smol::Async;
 
@@ -48,6 +49,8 @@
                 // usable.
                 continue;
             };
+            // Without it, datagrams that arrive fast would keep all other tasks waiting.
+            future::yield_now().await;
             match postcard::from_bytes::<Message>(&bytes[..length]) {
                 Ok(message) => self.handle_message(message, from).await,
                 Err(error) => {
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -68,7 +68,11 @@
     let task = async move {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => accept_connection(&gateway, purpose, stream, handle.clone()),
+                Ok((stream, _)) => {
+                    accept_connection(&gateway, purpose, stream, handle.clone());
+                    // Without it, connections that arrive fast would keep all other tasks waiting.
+                    future::yield_now().await;
+                }
                 Err(_) => {
                     gateway.tally.add(Limit::Accept);
                     Timer::after(ACCEPT_RETRY_DELAY).await;
--- a/crates/gateway/src/listener/table.rs
+++ b/crates/gateway/src/listener/table.rs
@@ -1,7 +1,8 @@
 //! Open incoming connections, and the limits on them.
 //!
-//! When a limit is reached, the connection that has made no progress for longest is closed. A
-//! connection whose request is running is never closed for another one.
+//! When a limit is reached, the connection that has made no progress for longest is closed, and
+//! first those that are within a head or have not sent a request yet. A connection whose request is
+//! running is never closed for another one.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -18,6 +19,10 @@
 /// Receive buffer of a connection that sends no large body. The kernel reserves twice as much.
 pub const IDLE_RECEIVE_BUFFER: usize = 16 << 10;
 
+/// Bytes that arrive this soon after a reply may be the rest of a body that the reply refused. They
+/// do not start the time for the next head.
+const DRAIN_TIME: Span = Span::from_millis(1);
+
 /// What a listener is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Purpose {
@@ -60,6 +65,8 @@
     head_bytes: Cell<usize>,
     body_bytes: Cell<usize>,
     is_busy: Cell<bool>,
+    /// When the last request ended, if there was one.
+    finished_at: Cell<Option<Instant>>,
     is_write_blocked: Cell<bool>,
     is_closing: Cell<bool>,
 }
@@ -121,6 +128,7 @@
             head_bytes: Cell::new(0),
             body_bytes: Cell::new(0),
             is_busy: Cell::new(false),
+            finished_at: Cell::new(None),
             is_write_blocked: Cell::new(false),
             is_closing: Cell::new(false),
         });
@@ -148,7 +156,7 @@
                 && (!entry.is_busy.get() || entry.is_write_blocked.get())
                 && now.since(entry.progress_at.get()) >= self.limits.stall
         });
-        if let Some(entry) = stalled.min_by_key(|entry| entry.progress_at.get())
+        if let Some(entry) = stalled.min_by_key(|entry| (entry.is_kept(), entry.progress_at.get()))
             && entry.close()
         {
             self.tally.add(Limit::Evicted);
@@ -157,6 +165,13 @@
 }
 
 impl Entry {
+    /// Whether the connection is between two requests, as that of an ordinary caller.
+    fn is_kept(&self) -> bool {
+        self.finished_at.get().is_some()
+            && self.head_since.get().is_none()
+            && !self.is_write_blocked.get()
+    }
+
     /// Closes the connection. Returns whether it was open.
     fn close(&self) -> bool {
         let was_open = !self.is_closing.replace(true);
@@ -185,8 +200,11 @@
             }
             return;
         }
-        if entry.head_since.get().is_none() {
-            entry.head_since.set(Some(clock::now()));
+        let now = clock::now();
+        let is_drained =
+            entry.finished_at.get().is_some_and(|finished| now.since(finished) < DRAIN_TIME);
+        if entry.head_since.get().is_none() && !is_drained {
+            entry.head_since.set(Some(now));
         }
         entry.head_bytes.set(entry.head_bytes.get() + bytes);
         let table = &self.table;
@@ -213,7 +231,9 @@
     /// Records that the reply has been handed to the connection.
     pub fn finish_request(&self) {
         self.entry.is_busy.set(false);
-        self.entry.progress_at.set(clock::now());
+        let now = clock::now();
+        self.entry.progress_at.set(now);
+        self.entry.finished_at.set(Some(now));
         if self.entry.body_bytes.replace(0) > IDLE_RECEIVE_BUFFER {
             self.set_receive_buffer(IDLE_RECEIVE_BUFFER);
         }
--- a/crates/gateway/src/request/body.rs
+++ b/crates/gateway/src/request/body.rs
@@ -50,11 +50,11 @@
     };
     let evicted = async {
         eviction.wait().await;
-        gateway.tally.add(Limit::Body);
         Err(Reason::QueueFull)
     };
     let result = future::or(collect(body, stated, sizes, reservation, deadline), evicted).await;
     match result {
+        Err(Reason::QueueFull) if eviction.is_set() => gateway.tally.add(Limit::Body),
         Err(Reason::QueueFull) => gateway.tally.add(Limit::Memory),
         Err(Reason::BodyTooLarge) => gateway.tally.add(Limit::BodySize),
         _ => {}
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -109,3 +109,55 @@
     let answered = statuses.iter().filter(|status| **status == Some(200)).count();
     assert_eq!(ran, answered, "{statuses:?}");
 }
+
+/// The largest body that the platform permits.
+const LARGEST_BODY_BYTES: usize = 67_108_864;
+
+/// A single body of the largest permitted size must be served on the smallest machine, and must not
+/// be copied whole on its way.
+#[test_case(false; "announced")]
+#[test_case(true; "chunked")]
+fn largest_body(is_chunked: bool) {
+    let target = Target::new("t-1", Behaviour::Normal(Duration::ZERO));
+    let store = Store::new();
+    let mut policy = config(2, &ROUTES);
+    policy["spec"]["limits"]["maxBodyBytes"] = LARGEST_BODY_BYTES.into();
+    policy["spec"]["routes"]["rows"][1][4] = 20_000.into();
+    store.put("config", "main", policy);
+    store.put("servers", &target.id, target.entry("s", "ready"));
+    let gateway = Gateway::start_limited(&store, 160, 4_100);
+    gateway.wait_ready();
+    wait_until("the target is known", || {
+        gateway.log.lock().unwrap().iter().any(|line| line["event"] == 500)
+    });
+    let framing = if is_chunked {
+        "Transfer-Encoding: chunked".to_owned()
+    } else {
+        format!("Content-Length: {LARGEST_BODY_BYTES}")
+    };
+    let head = format!(
+        "POST /once/a HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: large\r\nX-Deadline-Ms: 20000\r\n{framing}\r\n\r\n"
+    );
+    let mut stream = TcpStream::connect(gateway.callers).unwrap();
+    stream.write_all(head.as_bytes()).unwrap();
+    let block = vec![b'x'; 1 << 20];
+    for _ in 0..LARGEST_BODY_BYTES >> 20 {
+        if is_chunked {
+            stream.write_all(b"100000\r\n").unwrap();
+        }
+        stream.write_all(&block).unwrap();
+        if is_chunked {
+            stream.write_all(b"\r\n").unwrap();
+        }
+    }
+    if is_chunked {
+        stream.write_all(b"0\r\n\r\n").unwrap();
+    }
+    let reply = Message::read(&mut BufReader::new(stream)).unwrap();
+    assert_eq!(reply.status(), 200);
+    let requests = target.requests.lock().unwrap();
+    assert_eq!(requests.last().unwrap().body.len(), LARGEST_BODY_BYTES);
+    let resident = resident_kb(&gateway);
+    println!("{resident} kB resident");
+    assert!(resident < MAX_RESIDENT_KB, "{resident} kB resident");
+}
