Start quotas across machines: leases, claims of ownership and a simulated fleet

Cause: no quota of tenants is enforced (docs/design/demands.md, part 2). Change: core::allotment and a simulation that prints its figures. Not yet wired into the gateway.

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -349,6 +349,12 @@
         self.peers.values().filter(move |known| known.is_live(now)).map(|known| &known.peer)
     }
 
+    /// The other machines heard of within [`FORGET_AFTER`], dead ones too, each with the time since
+    /// its last new heartbeat.
+    pub fn known_peers(&self, now: Instant) -> impl Iterator<Item = (&Peer, Span)> {
+        self.peers.values().map(move |known| (&known.peer, now.since(known.heard_at)))
+    }
+
     /// The number of machines by which a fleet-wide limit is divided. It counts dead machines too,
     /// so that the limit holds even if machines disagree about which ones are live.
     pub fn fleet_size(&self, now: Instant) -> usize {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! so that every decision can be replayed. Sockets, files and timers are in the other crates.
 
 mod admit;
+pub mod allotment;
 pub mod availability;
 pub mod balancer;
 pub mod block;
