--- a/crates/core/src/allotment.rs
+++ b/crates/core/src/allotment.rs
@@ -187,6 +187,8 @@
     /// Whether other machines exist, so that one without contact must not own quotas.
     has_peers: bool,
     last_heard: Instant,
+    /// When the datagram before the last one arrived.
+    heard_before: Instant,
     fleet: Fleet,
     orders: Orders,
     ledger: Ledger,
@@ -211,6 +213,7 @@
             settled_at: now + SETTLING_TIME,
             has_peers,
             last_heard: now,
+            heard_before: now,
             fleet: Fleet::new(own),
             orders: Orders::default(),
             ledger: Ledger::default(),
@@ -256,6 +259,7 @@
             }
         }
         self.has_peers = true;
+        self.heard_before = self.last_heard;
         self.last_heard = now;
         self.muted.remove(&from);
         self.missed.remove(&from);
@@ -267,7 +271,7 @@
     }
 
     fn has_contact(&self, now: Instant) -> bool {
-        !self.has_peers || now.since(self.last_heard) < self.tolerance_part(SILENCE_PART)
+        !self.has_peers || now.since(self.heard_before) < self.tolerance_part(SILENCE_PART)
     }
 
     /// Whether an answer has arrived since the last call, so that waiting requests should ask again.
--- a/crates/core/src/allotment/account.rs
+++ b/crates/core/src/allotment/account.rs
@@ -18,7 +18,7 @@
 /// Time after the loss of contact at which the owners on the other side certainly count this
 /// machine as out of reach. Until then it uses only [`EARLY_SHARE`] of its share.
 const ADAPTION_TIME: Span = Span::from_secs(4);
-const EARLY_SHARE: f64 = 1.0;
+const EARLY_SHARE: f64 = 0.5;
 /// Part of the machine's share of the burst that it uses without contact.
 const STANDALONE_BURST: f64 = 0.4;
 
--- a/crates/core/src/allotment/ledger.rs
+++ b/crates/core/src/allotment/ledger.rs
@@ -33,7 +33,7 @@
     /// Does not own the quota; the machine that said last that it does, and when.
     Idle(Option<(IpAddr, Instant)>),
     /// Asks the machines in `waiting` whether they own the quota.
-    Claiming { since: Instant, sent_at: Instant, waiting: Vec<IpAddr> },
+    Claiming { since: Instant, sent_at: Instant, waiting: Vec<IpAddr>, has_answer: bool },
     /// Owns the quota.
     Active { verified_at: Instant },
 }
@@ -181,22 +181,28 @@
         let own = context.own;
         let order = context.order(tenant);
         let rank = order.iter().position(|address| *address == own);
-        let end = rank.map_or(order.len(), |rank| rank + 1 + LOWER_RANKS);
+        let end = match entry.role {
+            // None has answered.
+            Role::Claiming { .. } => order.len(),
+            _ => rank.map_or(order.len(), |rank| rank + 1 + LOWER_RANKS),
+        };
         let others = order.iter().take(end).copied().filter(|address| *address != own);
         let waiting: Vec<IpAddr> = others.collect();
         for &address in &waiting {
             outbox.request(address, Request { tenant, demand: Demand::Ownership });
         }
-        entry.role = Role::Claiming { since: now, sent_at: now, waiting };
+        entry.role = Role::Claiming { since: now, sent_at: now, waiting, has_answer: false };
     }
 
-    /// Completes the claim of a quota if all machines have answered or the time is up. A machine
-    /// without contact never completes it: another may own the quota.
+    /// Completes the claim of a quota if all machines have answered, or if one has and the time is
+    /// up. A claim without any answer is not completed: this machine may be cut off while another
+    /// owns the quota.
     fn advance(&mut self, now: Instant, tenant: u32, context: &Context<'_>) {
         let Some(entry) = self.entries.get_mut(&tenant) else { return };
-        let Role::Claiming { since, waiting, .. } = &entry.role else { return };
+        let Role::Claiming { since, waiting, has_answer, .. } = &entry.role else { return };
         let is_complete = waiting.is_empty();
-        if !context.has_contact || (!is_complete && now.since(*since) < CLAIM_TIMEOUT) {
+        let is_over = *has_answer && now.since(*since) >= CLAIM_TIMEOUT;
+        if !context.has_contact || !(is_complete || is_over) {
             return;
         }
         self.takeovers += u64::from(!is_complete);
@@ -260,8 +266,9 @@
                 entry.is_level_known = false;
             }
             Answer::Free | Answer::Released { .. } => {
-                let Role::Claiming { waiting, .. } = &mut entry.role else { return };
+                let Role::Claiming { waiting, has_answer, .. } = &mut entry.role else { return };
                 waiting.retain(|address| *address != from);
+                *has_answer = true;
                 if let Answer::Released { level } = answer {
                     let level = f64::from(level).clamp(0.0, entry.capacity(context.allowance));
                     entry.bucket = Bucket::new(now, level);
@@ -292,6 +299,11 @@
                         self.advance(now, tenant, context);
                     }
                 }
+                Role::Claiming { since, has_answer: false, .. }
+                    if now.since(*since) >= CLAIM_TIMEOUT =>
+                {
+                    Ledger::claim(now, tenant, entry, context, outbox);
+                }
                 Role::Claiming { sent_at, waiting, .. } => {
                     if now.since(*sent_at) >= CLAIM_REPEAT {
                         *sent_at = now;
