--- a/crates/core/src/allotment.rs
+++ b/crates/core/src/allotment.rs
@@ -55,10 +55,14 @@
 const REJOINING_TIME: Span = Span::from_secs(3);
 /// A lease lasts this part of the tolerance, `overshoot` times `window`: 0.4 s of 0.5 s.
 const LEASE_PART: f64 = 0.8;
+/// A lease must outlast a round trip and a repeated ask.
+const LEASE_BOUNDS: (Span, Span) = (Span::from_millis(150), Span::from_millis(400));
 /// A machine that has heard nothing for this part of the tolerance is without contact, and does not
 /// use the quotas that it owns: 0.6 s of 0.5 s. Others take over no earlier than 0.2 s after the
 /// contact is lost, so that both grant for at most 0.4 s.
 const SILENCE_PART: f64 = 1.2;
+/// Heartbeats arrive 7 times a second on average.
+const SILENCE_BOUNDS: (Span, Span) = (Span::from_millis(400), Span::from_millis(600));
 /// A machine that has been without contact for this time denies what its own share does not cover
 /// without waiting.
 const ISOLATED_AFTER: Span = Span::from_secs(2);
@@ -186,9 +190,11 @@
     settled_at: Instant,
     /// Whether other machines exist, so that one without contact must not own quotas.
     has_peers: bool,
+    /// When the last datagram arrived, or the process started.
     last_heard: Instant,
+    has_heard: bool,
     /// When the datagram before the last one arrived.
-    heard_before: Instant,
+    heard_before: Option<Instant>,
     fleet: Fleet,
     orders: Orders,
     ledger: Ledger,
@@ -213,7 +219,8 @@
             settled_at: now + SETTLING_TIME,
             has_peers,
             last_heard: now,
-            heard_before: now,
+            has_heard: false,
+            heard_before: None,
             fleet: Fleet::new(own),
             orders: Orders::default(),
             ledger: Ledger::default(),
@@ -240,11 +247,17 @@
         self.has_news = true;
     }
 
+    /// Whether there are messages to be sent.
+    pub fn has_messages(&self) -> bool {
+        !self.outbox.requests.is_empty() || !self.outbox.replies.is_empty()
+    }
+
     /// Updates the known machines, this one included. Called once in each round of heartbeats.
     pub fn set_fleet(&mut self, now: Instant, members: &[Member]) {
         self.has_peers |= members.len() > 1;
         self.fleet.update_candidates(members);
-        if self.has_contact(now) {
+        // A process that has just started knows few machines, so that its share would be too large.
+        if self.has_contact(now) && now >= self.settled_at {
             self.fleet.update_shares(now, members);
         }
     }
@@ -259,19 +272,23 @@
             }
         }
         self.has_peers = true;
-        self.heard_before = self.last_heard;
+        self.heard_before = self.has_heard.then_some(self.last_heard);
+        self.has_heard = true;
         self.last_heard = now;
         self.muted.remove(&from);
         self.missed.remove(&from);
     }
 
-    fn tolerance_part(&self, part: f64) -> Span {
+    fn tolerance_part(&self, part: f64, bounds: (Span, Span)) -> Span {
         let window_us = self.tolerance.window.as_micros() as f64;
-        Span::from_micros((window_us * self.tolerance.overshoot * part) as u64)
+        let span = Span::from_micros((window_us * self.tolerance.overshoot * part) as u64);
+        span.clamp(bounds.0, bounds.1)
     }
 
+    /// Whether two datagrams have arrived lately. A single one may have been late.
     fn has_contact(&self, now: Instant) -> bool {
-        !self.has_peers || now.since(self.heard_before) < self.tolerance_part(SILENCE_PART)
+        let timeout = self.tolerance_part(SILENCE_PART, SILENCE_BOUNDS);
+        !self.has_peers || self.heard_before.is_some_and(|at| now.since(at) < timeout)
     }
 
     /// Whether an answer has arrived since the last call, so that waiting requests should ask again.
@@ -289,9 +306,15 @@
         self.ledger.takeovers
     }
 
-    /// Whether this machine is without contact to others.
+    /// Whether this machine has long been without contact to others, so that it uses only its own
+    /// shares.
     pub fn is_isolated(&self, now: Instant) -> bool {
-        !self.has_contact(now)
+        self.has_peers && now.since(self.last_heard) >= ISOLATED_AFTER
+    }
+
+    /// Whether any tenant is limited.
+    pub fn has_limits(&self) -> bool {
+        !self.accounts.is_empty()
     }
 
     /// Decides on a new request of `tenant`.
@@ -467,7 +490,7 @@
     }
 
     fn handle_answer(&mut self, now: Instant, from: IpAddr, tenant: u32, answer: Answer) {
-        let lease = self.tolerance_part(LEASE_PART);
+        let lease = self.tolerance_part(LEASE_PART, LEASE_BOUNDS);
         let own = self.own;
         let Some(account) = self.accounts.get_mut(&tenant) else { return };
         match answer {
--- a/crates/core/src/allotment/ledger.rs
+++ b/crates/core/src/allotment/ledger.rs
@@ -18,6 +18,9 @@
 /// An owner that does not rank first asks those before it at this interval whether they own the
 /// quota too, since a claim may have gone through while messages were lost.
 const VERIFY_INTERVAL: Span = Span::from_secs(1);
+/// Time for which a machine that may not own quotas is not asked again, at least: others hear that
+/// it is not ready within a few rounds.
+const MIN_SETTLING: Span = Span::from_millis(500);
 /// Time for which a machine that said that it owns the quota counts as its owner.
 const HOLDER_TIME: Span = Span::from_secs(1);
 /// Part of the allowance with which a new owner starts if the level of the bucket is unknown: four
@@ -119,7 +122,8 @@
         let Some(entry) = self.entries.get_mut(&tenant) else { return Answer::Elsewhere(None) };
         if !context.may_own() {
             entry.role = Role::Idle(None);
-            return Answer::Settling { wait_ms: context.settling.as_millis() as u16 };
+            let wait = context.settling.max(MIN_SETTLING);
+            return Answer::Settling { wait_ms: wait.as_millis() as u16 };
         }
         match &entry.role {
             Role::Active { .. } if context.has_contact => {}
--- a/crates/core/tests/allotment.rs
+++ b/crates/core/tests/allotment.rs
@@ -623,3 +623,75 @@
     assert!(ratio <= 1.0);
     assert!(bytes < MAX_BYTES_PER_S);
 }
+
+/// The quota of one machine and one tenant, with a rate of 10 and a burst of 5.
+fn lone_machine(has_peers: bool) -> Allotment {
+    let mut allotment = Allotment::new(Instant::ZERO, address(0), TOLERANCE, has_peers);
+    allotment.set_limits(Instant::ZERO, [(7, Limit { rate_per_s: 10.0, burst: 5.0 })]);
+    let own =
+        Member { address: address(0), strength: 1, demand: 0, is_ready: true, silence: Span::ZERO };
+    allotment.set_fleet(Instant::ZERO, &[own]);
+    allotment
+}
+
+/// The number of requests that are granted out of one each 10 ms in a time.
+fn granted(allotment: &mut Allotment, tenant: u32, from: f64, until: f64) -> usize {
+    let mut now = at(from);
+    let mut waiting: Vec<Instant> = Vec::new();
+    let mut count = 0;
+    while now < at(until) {
+        allotment.poll(now);
+        let retries = std::mem::take(&mut waiting);
+        for since in retries {
+            match allotment.retry(now, tenant, since) {
+                Verdict::Granted => count += 1,
+                Verdict::Wait => waiting.push(since),
+                Verdict::Denied(_) => {}
+            }
+        }
+        match allotment.try_take(now, tenant) {
+            Verdict::Granted => count += 1,
+            Verdict::Wait => waiting.push(now),
+            Verdict::Denied(retry_after) => assert!(retry_after > Span::ZERO),
+        }
+        now = now + Span::from_millis(10);
+    }
+    count
+}
+
+#[test]
+fn unlimited_tenant() {
+    assert_eq!(granted(&mut lone_machine(true), 8, 0.0, 1.0), 100);
+}
+
+/// A fleet of one machine has nobody to ask.
+#[test]
+fn single_machine() {
+    let mut allotment = lone_machine(false);
+    assert_eq!(granted(&mut allotment, 7, 0.0, 4.9), 0);
+    let count = granted(&mut allotment, 7, 5.1, 15.1);
+    assert!((95..=120).contains(&count), "{count} granted at a rate of 10 in 10 s");
+}
+
+/// A machine that starts while it is cut off knows neither the fleet nor what it granted before.
+#[test]
+fn isolated_start() {
+    assert_eq!(granted(&mut lone_machine(true), 7, 0.0, 120.0), 0);
+}
+
+/// The names of all machines are forgotten after a while. A machine that is cut off for longer must
+/// not take itself for the whole fleet.
+#[test]
+fn long_isolation() {
+    let mut fleet = Fleet::new(12, 3, 0.0, 0.0);
+    fleet.fault(10.0, Fault::CutOff(0.35));
+    fleet.run(80.0);
+    let before = fleet.tenants[0].executed.len();
+    for machine in fleet.machines.iter_mut().filter(|machine| !machine.is_cut_off) {
+        machine.process = None;
+    }
+    fleet.run(90.0);
+    let per_s = (fleet.tenants[0].executed.len() - before) as f64 / 10.0;
+    let limit = fleet.tenants[0].limit.rate_per_s;
+    assert!(per_s < limit * 0.5, "{per_s} a second of {limit} on a third of the machines");
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use futures_lite::future;
 use smol::LocalExecutor;
 
+use crate::allotment::Allotments;
 use crate::budget::Budget;
 use crate::log::Log;
 use crate::metric::Metrics;
@@ -85,6 +86,8 @@
     pub pool: Pool,
     /// Memory of request bodies.
     pub bodies: Rc<Budget>,
+    /// Quotas of tenants.
+    pub allotments: Allotments,
     /// Requests in flight.
     pub in_flight: Cell<usize>,
     /// Requests received since the last heartbeat.
@@ -145,6 +148,7 @@
             metrics: Metrics::new(),
             pool: Pool::new(executor.clone()),
             bodies: Budget::new(settings.limits.body_budget()),
+            allotments: Allotments::new(&settings),
             in_flight: Cell::new(0),
             arrivals: Cell::new(0),
             connections: Cell::new(0),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,6 +11,7 @@
 use serde_json::json;
 use smol::Async;
 
+use crate::allotment;
 use crate::gateway::Gateway;
 
 /// Receive buffer for one datagram, in bytes.
@@ -48,12 +49,22 @@
                 // usable.
                 continue;
             };
-            match postcard::from_bytes::<Message>(&bytes[..length]) {
-                Ok(message) => self.handle_message(message, from).await,
-                Err(error) => {
-                    let fields = json!({ "from": from.to_string(), "error": error.to_string() });
-                    self.gateway.log.record(Event::FrameRefused, fields);
+            let datagram = &bytes[..length];
+            let result = if allotment::is_quota_datagram(datagram) {
+                self.gateway.allotments.handle_datagram(from.ip(), datagram)
+            } else {
+                match postcard::from_bytes::<Message>(datagram) {
+                    Ok(message) => {
+                        self.gateway.allotments.record_contact(from.ip());
+                        self.handle_message(message, from).await;
+                        Ok(())
+                    }
+                    Err(error) => Err(error),
                 }
+            };
+            if let Err(error) = result {
+                let fields = json!({ "from": from.to_string(), "error": error.to_string() });
+                self.gateway.log.record(Event::FrameRefused, fields);
             }
         }
     }
@@ -77,8 +88,13 @@
         let message = self.gateway.state().membership.message(clock::now(), kind, random_below);
         let Ok(bytes) = postcard::to_stdvec(&message) else { return };
         let to = SocketAddr::new(to, self.gateway.settings.listen.mesh_port);
-        // The next round makes up for a lost datagram.
-        let _ = self.socket.send_to(&bytes, to).await;
+        self.send_bytes(&bytes, to).await;
+    }
+
+    /// Sends one datagram.
+    pub async fn send_bytes(&self, bytes: &[u8], to: SocketAddr) {
+        // Messages are repeated in later rounds or after a time-out.
+        let _ = self.socket.send_to(bytes, to).await;
     }
 
     /// Sends one round of heartbeats to a few random peers.
@@ -129,6 +145,7 @@
                 self.gateway.log.record(Event::PeerDisconnected, json!({ "peers": dead }));
             }
             self.gateway.update_machines();
+            self.gateway.allotments.update_fleet(&self.gateway);
             if self.gateway.state().membership.live_peers(clock::now()).next().is_none() {
                 let seeds = self.gateway.settings.seeds.iter().map(SocketAddr::ip).collect();
                 self.request_heartbeats(seeds).await;
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -63,6 +63,13 @@
     pub route: String,
 }
 
+/// Labels of a tenant.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TenantLabels {
+    /// Name of the tenant, or `other`.
+    pub tenant: String,
+}
+
 /// The metrics of one process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -99,6 +106,18 @@
     pub body_bytes: Gauge,
     /// The most bytes that request bodies took at once.
     pub body_bytes_peak: Gauge,
+    /// Used part of the quotas that this machine owns.
+    pub quota_usage: Family<TenantLabels, Gauge<f64, AtomicU64>>,
+    /// Requests rejected because of a quota.
+    pub quota_rejections: Family<TenantLabels, Counter>,
+    /// Requests that waited for a token of a quota.
+    pub quota_waits: Counter,
+    /// Quotas taken over from machines that did not answer.
+    pub quota_takeovers: Counter,
+    /// 1 while no other machine is heard.
+    pub quota_isolated: Gauge,
+    /// Bytes of datagrams sent about quotas.
+    pub quota_sent: Counter,
 }
 
 impl Metrics {
@@ -122,6 +141,12 @@
             connections: Gauge::default(),
             body_bytes: Gauge::default(),
             body_bytes_peak: Gauge::default(),
+            quota_usage: Family::default(),
+            quota_rejections: Family::default(),
+            quota_waits: Counter::default(),
+            quota_takeovers: Counter::default(),
+            quota_isolated: Gauge::default(),
+            quota_sent: Counter::default(),
             registry: Registry::default(),
         };
         registry.register("requests", "Finished requests", metrics.requests.clone());
@@ -176,9 +201,45 @@
             Unit::Bytes,
             metrics.body_bytes_peak.clone(),
         );
+        metrics.register_quotas(&mut registry);
         Metrics { registry, ..metrics }
     }
 
+    fn register_quotas(&self, registry: &mut Registry) {
+        registry.register_with_unit(
+            "quota_usage",
+            "Used part of the token bucket of a quota that this machine owns",
+            Unit::Ratios,
+            self.quota_usage.clone(),
+        );
+        registry.register(
+            "quota_rejections",
+            "Requests rejected because of a quota",
+            self.quota_rejections.clone(),
+        );
+        registry.register(
+            "quota_waits",
+            "Requests that waited for a token of a quota",
+            self.quota_waits.clone(),
+        );
+        registry.register(
+            "quota_takeovers",
+            "Quotas taken over from machines that did not answer",
+            self.quota_takeovers.clone(),
+        );
+        registry.register(
+            "quota_isolated",
+            "Whether no other machine is heard, so that only own shares of quotas are used",
+            self.quota_isolated.clone(),
+        );
+        registry.register_with_unit(
+            "quota_sent",
+            "Datagrams sent about quotas",
+            Unit::Bytes,
+            self.quota_sent.clone(),
+        );
+    }
+
     /// Encodes the metrics in OpenMetrics text format.
     pub fn to_text(&self) -> String {
         let mut text = String::new();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 use smol::{LocalExecutor, Timer};
 
+use crate::allotment::Allotments;
 use crate::gateway::{Gateway, Phase};
 use crate::gossip::Gossip;
 use crate::listener;
@@ -122,6 +123,8 @@
     executor.spawn(async move { receiver.receive().await }).detach();
     let sender = gossip.clone();
     executor.spawn(async move { sender.run_heartbeats().await }).detach();
+    let (quota_gateway, quota_gossip) = (gateway.clone(), gossip.clone());
+    executor.spawn(async move { Allotments::run(&quota_gateway, &quota_gossip).await }).detach();
     let housekeeper = gateway.clone();
     executor
         .spawn(async move {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 
+use ebonypass_core::allotment::Tolerance;
 use ebonypass_core::time::Span;
 use ebonypass_node::settings::{Check, Fault, check_range};
 use serde::Deserialize;
@@ -40,6 +41,9 @@
     pub times: Times,
     /// Limits that apply to all machines together.
     pub shared: FleetLimits,
+    /// How far the requests of a tenant may exceed its quota.
+    #[serde(default)]
+    pub quota: Quota,
 }
 
 /// Listen addresses and ports.
@@ -145,6 +149,36 @@
     }
 }
 
+/// How far the requests of a tenant may exceed its quota: in any window, by all machines together,
+/// (rate x window + burst) x (1 + overshoot) + allowance may be sent.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Quota {
+    /// Length of the window in seconds.
+    pub window_s: f64,
+    /// Share of the quota.
+    pub overshoot: f64,
+    /// Requests.
+    pub allowance: f64,
+}
+
+impl Default for Quota {
+    fn default() -> Quota {
+        Quota { window_s: 5.0, overshoot: 0.1, allowance: 20.0 }
+    }
+}
+
+impl Quota {
+    /// The figures as the decisions take them.
+    pub fn tolerance(&self) -> Tolerance {
+        Tolerance {
+            window: Span::from_millis((self.window_s * 1e3) as u64),
+            overshoot: self.overshoot,
+            allowance: self.allowance,
+        }
+    }
+}
+
 impl Check for Settings {
     fn check(&mut self, _folder: &Path) -> Result<(), Fault> {
         if self.name.is_empty() {
@@ -165,6 +199,9 @@
         check_range("shared.repeat_allowance", self.shared.retry_allowance, 0.0..=1e6)?;
         check_range("shared.repeat_window_s", self.shared.retry_window_s, 0.1..=3_600.0)?;
         check_range("shared.cold_factor", self.shared.cold_factor, 0.0..=100.0)?;
-        check_range("shared.cold_allowance", self.shared.cold_allowance, 0.0..=1e6)
+        check_range("shared.cold_allowance", self.shared.cold_allowance, 0.0..=1e6)?;
+        check_range("quota.window_s", self.quota.window_s, 0.1..=3_600.0)?;
+        check_range("quota.overshoot", self.quota.overshoot, 0.0..=1.0)?;
+        check_range("quota.allowance", self.quota.allowance, 0.0..=1e6)
     }
 }
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -174,6 +174,7 @@
     /// Sets the gauges to current values.
     pub fn update_gauges(&self) {
         let now = clock::now();
+        self.allotments.update_gauges(self);
         let state = self.state();
         self.metrics.version.set(state.version as i64);
         self.metrics.targets.set(state.balancer.target_count() as i64);
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -22,6 +22,8 @@
 #[test_case("cpu_share = 0.2", "cpu_share = 0.0", "limits.cpu_share"; "no processor")]
 #[test_case("link_mbps = 1000", "link_mbps = 0", "limits.link_mbps"; "no link")]
 #[test_case("repeat_ratio = 0.2", "repeat_ratio = 2.0", "shared.repeat_ratio"; "a ratio over one")]
+#[test_case("overshoot = 0.1", "overshoot = 2", "quota.overshoot"; "an overshoot over one")]
+#[test_case("window_s = 5", "window_s = 0", "quota.window_s"; "no window")]
 #[test_case("grace_s = 6", "grace_s = -6", "grace_s"; "a negative time")]
 #[test_case("grace_s = 6", "grace = 6", "grace"; "an unknown field")]
 fn names_the_invalid_field(old: &str, new: &str, field: &str) {
@@ -50,3 +52,23 @@
     let expected = (Duration::from_millis(7_500), Duration::from_millis(2_500));
     assert_eq!((settings.times.grace, settings.times.lookup), expected);
 }
+
+/// The platform states the figures of quotas only if a deployment has quotas. A missing value must
+/// neither keep processes from starting nor leave a quota without a tolerance.
+#[test_case(true, (6.0, 0.2, 30.0); "with figures")]
+#[test_case(false, (5.0, 0.1, 20.0); "without figures")]
+fn quota_figures(has_figures: bool, expected: (f64, f64, f64)) {
+    let template = include_str!("../../../deploy/gateway.toml.template");
+    let (start, end) = ("{{#bounds.quotaWindowS}}\n", "{{/bounds.quotaWindowS}}\n");
+    let (_, section) = template.split_once(start).unwrap();
+    let (section, rest) = section.split_once(end).unwrap();
+    assert_eq!(rest, "");
+    let rendered = section
+        .replace("{{bounds.quotaWindowS}}", "6")
+        .replace("{{bounds.quotaOver}}", "0.2")
+        .replace("{{bounds.quotaSlack}}", "30");
+    let (others, _) = EXAMPLE.split_once("[quota]").unwrap();
+    let text = if has_figures { format!("{others}{rendered}") } else { others.to_owned() };
+    let quota = scan::<Settings>(&text, Path::new("")).unwrap().quota;
+    assert_eq!((quota.window_s, quota.overshoot, quota.allowance), expected);
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -95,6 +95,13 @@
     /// A peer whose state this process follows does not answer, or has no state.
     PeerUnresponsive = 404 Warn "peer unresponsive",
 
+    /// No other machine is heard; quotas are limited to this machine's own share.
+    QuotaContactLost = 405 Warn "no contact for quotas",
+    /// Other machines are heard again.
+    QuotaContactRestored = 406 Info "contact for quotas restored",
+    /// Quotas were taken over from machines that do not answer.
+    QuotaTakenOver = 407 Info "quotas taken over",
+
     /// A target was added.
     TargetAdded = 500 Info "target added",
     /// A target accepts no new work.
@@ -124,6 +131,9 @@
     /// The caller disconnected before its request was answered.
     RequestAbandoned = 613 Info "request abandoned",
 
+    /// Requests were rejected because their tenants are beyond their quotas.
+    QuotaExhausted = 620 Warn "quotas exhausted",
+
     /// This entry acquired the steward lease.
     LeaseAcquired = 700 Info "steward lease acquired",
     /// This entry lost the steward lease.
