--- a/crates/core/src/allotment/ledger.rs
+++ b/crates/core/src/allotment/ledger.rs
@@ -13,8 +13,6 @@
 const CLAIM_TIMEOUT: Span = Span::from_millis(100);
 /// Claims are repeated after this time, for lost messages.
 const CLAIM_REPEAT: Span = Span::from_millis(45);
-/// Machines that rank after a claimant and that are asked whether they own the quota.
-const LOWER_RANKS: usize = 2;
 /// An owner that does not rank first asks those before it at this interval whether they own the
 /// quota too, since a claim may have gone through while messages were lost.
 const VERIFY_INTERVAL: Span = Span::from_secs(1);
@@ -174,7 +172,8 @@
         Answer::Denied { wait_ms: wait_ms.clamp(1.0, f64::from(u16::MAX)) as u16 }
     }
 
-    /// Starts a claim: asks the machines before this one in the order, and the next ones after it.
+    /// Starts a claim: asks all other machines that may own the quota. One that ranks much lower may
+    /// own it after many machines were out of reach.
     fn claim(
         now: Instant,
         tenant: u32,
@@ -184,13 +183,7 @@
     ) {
         let own = context.own;
         let order = context.order(tenant);
-        let rank = order.iter().position(|address| *address == own);
-        let end = match entry.role {
-            // None has answered.
-            Role::Claiming { .. } => order.len(),
-            _ => rank.map_or(order.len(), |rank| rank + 1 + LOWER_RANKS),
-        };
-        let others = order.iter().take(end).copied().filter(|address| *address != own);
+        let others = order.iter().copied().filter(|address| *address != own);
         let waiting: Vec<IpAddr> = others.collect();
         for &address in &waiting {
             outbox.request(address, Request { tenant, demand: Demand::Ownership });
