Try each further candidate once when the first owner does not answer

Cause: after a kill of 0.6 of the fleet, three tries for each gone candidate left a quota without an owner for 2.5 s.

--- a/crates/core/src/allotment.rs
+++ b/crates/core/src/allotment.rs
@@ -38,6 +38,9 @@
 const ASK_TIMEOUT: Span = Span::from_millis(50);
 /// Asks that one machine leaves without an answer before others are asked.
 const MAX_TRIES: u32 = 3;
+/// The same once the first machine has not answered: after a fault of many machines, several of an
+/// order may be gone.
+const FALLBACK_TRIES: u32 = 1;
 /// Time for which a machine that did not answer is not asked, unless a datagram of it arrives.
 const MUTE_TIME: Span = Span::from_secs(3);
 /// Time for which a machine that answered as the owner is asked first.
@@ -588,7 +591,8 @@
             if let Some(open) = account.open_ask {
                 let missed = self.missed.entry(open.to).or_default();
                 *missed += 1;
-                if open.tries >= MAX_TRIES || *missed >= MAX_TRIES {
+                let limit = if account.is_fallback { FALLBACK_TRIES } else { MAX_TRIES };
+                if open.tries >= limit || *missed >= limit {
                     self.muted.insert(open.to, now + MUTE_TIME);
                     account.open_ask = None;
                     account.owner = None;
