--- a/crates/core/src/allotment/fleet.rs
+++ b/crates/core/src/allotment/fleet.rs
@@ -143,6 +143,13 @@
         unit_hash(hash(self.own), tenant.into())
     }
 
+    /// `count` of the machines that may own quotas, from the position `start` on.
+    pub(super) fn sample(&self, start: usize, count: usize) -> impl Iterator<Item = IpAddr> {
+        let length = self.candidates.len();
+        let candidates = self.candidates.iter().cycle().skip(start % length.max(1));
+        candidates.take(count.min(length)).map(|(address, ..)| *address)
+    }
+
     /// The machines that may own the quota of `tenant`, the first choice first: rendezvous hashing,
     /// weighted by strength.
     pub(super) fn order(&self, tenant: u32) -> Vec<IpAddr> {
--- a/crates/core/src/allotment/ledger.rs
+++ b/crates/core/src/allotment/ledger.rs
@@ -13,6 +13,8 @@
 const CLAIM_TIMEOUT: Span = Span::from_millis(100);
 /// Claims are repeated after this time, for lost messages.
 const CLAIM_REPEAT: Span = Span::from_millis(45);
+/// Further machines that are asked if no machine of the order answers a claim.
+const WITNESSES: usize = 12;
 /// An owner that does not rank first asks those before it at this interval whether they own the
 /// quota too, since a claim may have gone through while messages were lost.
 const VERIFY_INTERVAL: Span = Span::from_secs(1);
@@ -182,9 +184,14 @@
         outbox: &mut Outbox,
     ) {
         let own = context.own;
-        let order = context.order(tenant);
-        let others = order.iter().copied().filter(|address| *address != own);
-        let waiting: Vec<IpAddr> = others.collect();
+        let order = context.order(tenant).to_vec();
+        let mut waiting = order.clone();
+        if matches!(entry.role, Role::Claiming { .. }) {
+            // None has answered: all others of the order may be gone.
+            let witnesses = context.fleet.sample(now.as_micros() as usize, WITNESSES);
+            waiting.extend(witnesses.filter(|address| !order.contains(address)));
+        }
+        waiting.retain(|address| *address != own);
         for &address in &waiting {
             outbox.request(address, Request { tenant, demand: Demand::Ownership });
         }
