--- a/crates/core/src/allotment.rs
+++ b/crates/core/src/allotment.rs
@@ -22,7 +22,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::time::{Instant, Span};
-use account::{Account, OpenAsk};
+use account::{Account, OpenAsk, Part};
 use fleet::Fleet;
 pub use fleet::Member;
 use ledger::Ledger;
@@ -69,9 +69,11 @@
 /// A machine that has been without contact for this time denies what its own share does not cover
 /// without waiting.
 const ISOLATED_AFTER: Span = Span::from_secs(2);
-/// Part of the allowance that all machines without contact may use together at the start: 8
-/// requests of 20.
-const STANDALONE_SHARE: f64 = 0.4;
+/// Part of the allowance that all machines without contact may use together at the start, and again
+/// in each window: 6 requests of 20.
+const STANDALONE_SHARE: f64 = 0.3;
+/// The time that a request is told to wait that a machine without contact denies.
+const ISOLATED_RETRY_AFTER: Span = Span::from_secs(1);
 /// The shortest time that a denied request is told to wait.
 const MIN_RETRY_AFTER: Span = Span::from_millis(250);
 
@@ -365,18 +367,12 @@
             return Verdict::Granted;
         }
         if !has_contact && (is_last || silence >= ISOLATED_AFTER) {
-            let size = self.fleet.size.max(1) as f64;
-            let common = STANDALONE_SHARE * self.tolerance.allowance / size;
-            // Without a known share, the machine has restarted and knows nothing of the fleet.
-            let start = match self.fleet.own_share > 0.0 {
-                true => self.fleet.own_hash(tenant) + common,
-                false => 0.0,
-            };
-            let factor = self.fleet.own_factor();
-            if account.take_standalone(now, self.last_heard, start, factor) {
+            let part = self.standalone_part(tenant);
+            let Some(account) = self.accounts.get_mut(&tenant) else { return Verdict::Granted };
+            if account.take_standalone(now, &part) {
                 return Verdict::Granted;
             }
-            return Verdict::Denied(MIN_RETRY_AFTER.max(Span::from_secs(1)));
+            return Verdict::Denied(ISOLATED_RETRY_AFTER);
         }
         let wait_end = since + MAX_WAIT;
         if is_last || account.is_exhausted(now) || account.denied_until > wait_end {
@@ -395,6 +391,20 @@
         Verdict::Wait
     }
 
+    /// What this machine may use of a tenant's quota without contact. Nothing if it has restarted
+    /// and does not know its share of the fleet's demand.
+    fn standalone_part(&self, tenant: u32) -> Part {
+        let lost_at = self.last_heard;
+        if self.fleet.own_share == 0.0 {
+            return Part { lost_at, start: 0.0, rate_per_s: 0.0, share: 0.0 };
+        }
+        let common = STANDALONE_SHARE * self.tolerance.allowance / self.fleet.size.max(1) as f64;
+        let window_s = self.tolerance.window.as_micros() as f64 / 1e6;
+        // The hash spreads the first tokens over the machines.
+        let start = self.fleet.own_hash(tenant) + common;
+        Part { lost_at, start, rate_per_s: common / window_s, share: self.fleet.own_factor() }
+    }
+
     /// Asks for tokens ahead of need, if few are left.
     fn ask_ahead(&mut self, now: Instant, tenant: u32) {
         let Some(account) = self.accounts.get(&tenant) else { return };
--- a/crates/core/src/allotment/account.rs
+++ b/crates/core/src/allotment/account.rs
@@ -32,6 +32,19 @@
     pub(super) tries: u32,
 }
 
+/// What a machine without contact may use of each quota.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Part {
+    /// When the contact with the fleet was lost.
+    pub(super) lost_at: Instant,
+    /// Tokens at that time.
+    pub(super) start: f64,
+    /// Tokens per second, whatever the quota.
+    pub(super) rate_per_s: f64,
+    /// Share of the quota.
+    pub(super) share: f64,
+}
+
 /// One tenant's quota as this machine uses it.
 #[derive(Debug)]
 pub(super) struct Account {
@@ -155,28 +168,22 @@
         self.backoff == MAX_BACKOFF && now < self.next_ask_at
     }
 
-    /// Takes one token of this machine's own share of the quota. `lost_at` is when the contact with
-    /// the fleet was lost, `start` the level at that time, `share` the machine's share.
-    pub(super) fn take_standalone(
-        &mut self,
-        now: Instant,
-        lost_at: Instant,
-        start: f64,
-        share: f64,
-    ) -> bool {
+    /// Takes one token of this machine's own part of the quota, if there is one.
+    pub(super) fn take_standalone(&mut self, now: Instant, part: &Part) -> bool {
         let mut bucket = match self.standalone {
-            Some((at, bucket)) if at == lost_at => bucket,
-            _ => Bucket::new(lost_at, start),
+            Some((at, bucket)) if at == part.lost_at => bucket,
+            _ => Bucket::new(part.lost_at, part.start),
         };
-        let capacity = (1.0 + self.limit.burst * share * STANDALONE_BURST).max(start);
-        let adapted_at = lost_at + ADAPTION_TIME;
-        let rate = self.limit.rate_per_s * share;
-        bucket.fill(now.min(adapted_at), rate * EARLY_SHARE, capacity);
+        let burst = self.limit.burst * part.share * STANDALONE_BURST;
+        let capacity = (1.0 + burst).max(part.start);
+        let adapted_at = part.lost_at + ADAPTION_TIME;
+        let rate = self.limit.rate_per_s * part.share;
+        bucket.fill(now.min(adapted_at), rate * EARLY_SHARE + part.rate_per_s, capacity);
         if now > adapted_at {
-            bucket.fill(now, rate, capacity);
+            bucket.fill(now, rate + part.rate_per_s, capacity);
         }
         let is_taken = bucket.take(1) == 1;
-        self.standalone = Some((lost_at, bucket));
+        self.standalone = Some((part.lost_at, bucket));
         is_taken
     }
 }
--- a/crates/core/src/allotment/ledger.rs
+++ b/crates/core/src/allotment/ledger.rs
@@ -303,6 +303,11 @@
                         self.advance(now, tenant, context);
                     }
                 }
+                Role::Claiming { since, .. } if !context.has_contact => {
+                    if now.since(*since) >= VERIFY_INTERVAL {
+                        Ledger::claim(now, tenant, entry, context, outbox);
+                    }
+                }
                 Role::Claiming { since, has_answer: false, .. }
                     if now.since(*since) >= CLAIM_TIMEOUT =>
                 {
