Hold the share out of reach while the same machines are lost

Fleets of two or three machines lost contact between heartbeats. Change: the share falls only when fewer machines are lost, the own share is the smallest of 3.2 s, and one datagram is enough in fleets of up to three.

--- a/crates/core/src/allotment.rs
+++ b/crates/core/src/allotment.rs
@@ -66,6 +66,9 @@
 const SILENCE_PART: f64 = 1.2;
 /// Heartbeats arrive 7 times a second on average.
 const SILENCE_BOUNDS: (Span, Span) = (Span::from_millis(400), Span::from_millis(600));
+/// Fleets of at most so many machines are small: each machine hears from the others less than 4 times
+/// in the time.
+const SMALL_FLEET: usize = 3;
 /// A machine that has been without contact for this time denies what its own share does not cover
 /// without waiting.
 const ISOLATED_AFTER: Span = Span::from_secs(2);
@@ -290,10 +293,14 @@
         span.clamp(bounds.0, bounds.1)
     }
 
-    /// Whether two datagrams have arrived lately. A single one may have been late.
+    /// Whether two datagrams have arrived lately. A single one may have been late; it is enough in a
+    /// fleet so small that two do not always arrive in the time.
     fn has_contact(&self, now: Instant) -> bool {
         let timeout = self.tolerance_part(SILENCE_PART, SILENCE_BOUNDS);
-        !self.has_peers || self.heard_before.is_some_and(|at| now.since(at) < timeout)
+        let is_small = self.fleet.known <= SMALL_FLEET;
+        let heard_at =
+            if is_small { self.has_heard.then_some(self.last_heard) } else { self.heard_before };
+        !self.has_peers || heard_at.is_some_and(|at| now.since(at) < timeout)
     }
 
     /// Whether an answer has arrived since the last call, so that waiting requests should ask again.
--- a/crates/core/src/allotment/fleet.rs
+++ b/crates/core/src/allotment/fleet.rs
@@ -2,6 +2,7 @@
 //! demand is out of reach.
 
 use std::cmp::Ordering;
+use std::collections::VecDeque;
 use std::net::IpAddr;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -23,6 +24,10 @@
 /// notice it at different times.
 const SHARE_HOLD_TIME: Span = Span::from_millis(1_500);
 
+/// Rounds over which the smallest own share counts: 3.2 s, in which the other machines hear of a
+/// rising demand here.
+const RECENT_ROUNDS: usize = 8;
+
 /// A machine of the fleet.
 #[derive(Debug, Clone, Copy)]
 pub struct Member {
@@ -48,11 +53,18 @@
     pub(super) version: u64,
     pub(super) is_own_ready: bool,
     /// Machines known, including dead ones and this one.
+    pub(super) known: usize,
+    /// The same when the contact was last good.
     pub(super) size: usize,
-    /// This machine's share of the known demand.
+    /// This machine's share of the known demand, the smallest of the last rounds.
     pub(super) own_share: f64,
+    /// The share in each of the last rounds.
+    recent_shares: VecDeque<f64>,
+    /// The share of the demand that is out of reach.
     lost_share: f64,
-    lost_share_at: Instant,
+    /// Machines out of reach, and when the number or the share was last as high.
+    lost_count: usize,
+    lost_at: Instant,
 }
 
 fn hash(address: IpAddr) -> u64 {
@@ -87,10 +99,13 @@
             candidates: Vec::new(),
             version: 0,
             is_own_ready: false,
+            known: 0,
             size: 0,
             own_share: 0.0,
             lost_share: 0.0,
-            lost_share_at: Instant::ZERO,
+            recent_shares: VecDeque::new(),
+            lost_count: 0,
+            lost_at: Instant::ZERO,
         }
     }
 
@@ -102,6 +117,7 @@
             .map(|member| (member.address, member.strength.max(1), hash(member.address)))
             .collect();
         candidates.sort_unstable();
+        self.known = members.len();
         self.is_own_ready = candidates.iter().any(|(address, ..)| *address == self.own);
         if candidates != self.candidates {
             self.candidates = candidates;
@@ -113,13 +129,22 @@
     /// off keeps the share that it had before.
     pub(super) fn update_shares(&mut self, now: Instant, members: &[Member]) {
         self.size = members.len();
-        self.own_share = share(members, |member| member.address == self.own);
+        if self.recent_shares.len() == RECENT_ROUNDS {
+            self.recent_shares.pop_front();
+        }
+        self.recent_shares.push_back(share(members, |member| member.address == self.own));
+        self.own_share = self.recent_shares.iter().copied().fold(1.0, f64::min);
         let dead = share(members, |member| member.silence >= DEAD_AFTER);
         let suspect = share(members, |member| member.silence >= SUSPECT_AFTER);
         let lost = dead.max(suspect.min(MAX_SUSPECT_SHARE));
-        if lost >= self.lost_share || now.since(self.lost_share_at) >= SHARE_HOLD_TIME {
-            self.lost_share = lost;
-            self.lost_share_at = now;
+        let count = members.iter().filter(|member| member.silence >= SUSPECT_AFTER).count();
+        // While the same machines are lost, a growing demand of the others does not lower the share:
+        // the lost ones use the shares that they had before.
+        let may_fall = count < self.lost_count && now.since(self.lost_at) >= SHARE_HOLD_TIME;
+        if lost >= self.lost_share || may_fall {
+            (self.lost_share, self.lost_count, self.lost_at) = (lost, count, now);
+        } else if count >= self.lost_count {
+            (self.lost_count, self.lost_at) = (count, now);
         }
     }
 
