--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use futures_lite::future;
 use smol::LocalExecutor;
 
+use crate::allotment::Allotments;
 use crate::budget::Budget;
 use crate::limit::Tally;
 use crate::listener::Table;
@@ -104,6 +105,8 @@
     pub bodies: Rc<Budget>,
     /// Requests that wait for a slot of a target.
     pub waiting: RefCell<Waiting>,
+    /// Quotas of tenants.
+    pub allotments: Allotments,
     /// Requests in flight.
     pub in_flight: Cell<usize>,
     /// Requests received since the last heartbeat.
@@ -174,6 +177,7 @@
             metrics: Metrics::new(),
             pool: Pool::new(executor.clone()),
             bodies: Budget::new(settings.limits.body_limits()),
+            allotments: Allotments::new(&settings),
             waiting: RefCell::default(),
             in_flight: Cell::new(0),
             arrivals: Cell::new(0),
--- a/crates/gateway/src/request/access.rs
+++ b/crates/gateway/src/request/access.rs
@@ -1,7 +1,6 @@
 //! Which tenant a request belongs to, by its key and the configuration in force.
 
-use std::rc::Rc;
-
+use ebonypass_core::allotment::tenant_hash;
 use ebonypass_core::balancer::RegionSet;
 use ebonypass_core::outcome::Reason;
 use ebonypass_core::tenant::{Digest, TenantId};
@@ -10,6 +9,7 @@
 use hyper::HeaderMap;
 
 use super::Job;
+use crate::allotment::Allotments;
 use crate::gateway::{Gateway, State};
 
 /// Ranks of one tenant. Routes with a priority of as much or more share ranks with those of the next
@@ -171,14 +171,21 @@
     }
 }
 
-/// Takes a request from the quota of a tenant, and waits until `deadline` for it at most. Quotas are
-/// not enforced yet (docs/design/demands.md, part 2).
+/// Takes a request from the quota of a tenant, and waits until `deadline` for it at most.
 ///
 /// Errors: the quota is used up; the caller should retry after this time.
 pub(super) async fn take_quota(
-    _gateway: &Rc<Gateway>,
-    _tenant: TenantId,
-    _deadline: Instant,
+    gateway: &Gateway,
+    tenant: TenantId,
+    deadline: Instant,
 ) -> Result<(), Span> {
-    Ok(())
+    let hash = {
+        let state = gateway.state();
+        let tenant = state.tenants.as_ref().and_then(|table| table.get(tenant));
+        tenant.filter(|tenant| tenant.limit.is_some()).map(|tenant| tenant_hash(&tenant.name))
+    };
+    match hash {
+        Some(hash) => Allotments::admit(gateway, hash, deadline).await,
+        None => Ok(()),
+    }
 }
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -87,7 +87,11 @@
             faults = found;
             table
         });
+        let tenants = state.tenants.iter().flat_map(|table| table.iter());
+        let limits = tenants.filter_map(|(_, tenant)| Some((tenant.name.clone(), tenant.limit?)));
+        let limits: Vec<_> = limits.collect();
         drop(state);
+        self.allotments.set_limits(limits);
         self.log.record(Event::PolicyApplied, fields);
         self.record_tenant_faults(config.version, &faults);
     }
@@ -246,6 +250,7 @@
     /// Sets the gauges to current values.
     pub fn update_gauges(&self) {
         let now = clock::now();
+        self.allotments.update_gauges(self);
         let state = self.state();
         self.metrics.version.set(state.version as i64);
         self.metrics.targets.set(state.balancer.target_count() as i64);
