Send load reports over the mesh socket

Only live machines of the region are heard. Nothing is sent while load is not shared, and nothing switches that on yet.

The counters of objects take memory only once load is shared.

--- a/crates/core/src/balance/variety.rs
+++ b/crates/core/src/balance/variety.rs
@@ -32,20 +32,15 @@
 }
 
 /// Counts the requests for each object of a service.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Variety {
+    /// Empty until the first request: without shared load, no memory is taken.
     counters: Vec<f32>,
     total: f32,
     objects: usize,
     halved_at: Instant,
 }
 
-impl Default for Variety {
-    fn default() -> Variety {
-        Variety { counters: vec![0.0; COUNTERS], total: 0.0, objects: 0, halved_at: Instant::ZERO }
-    }
-}
-
 fn index(object: u64) -> usize {
     (object.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as usize % COUNTERS
 }
@@ -57,6 +52,7 @@
             self.halve();
             self.halved_at = now;
         }
+        self.counters.resize(COUNTERS, 0.0);
         let counter = &mut self.counters[index(object)];
         self.objects += usize::from(*counter == 0.0);
         *counter += 1.0;
@@ -89,6 +85,7 @@
     }
 
     fn share(&self, object: u64) -> f64 {
-        f64::from(self.counters[index(object)] / self.total.max(MIN_TOTAL))
+        let requests = self.counters.get(index(object)).copied().unwrap_or(0.0);
+        f64::from(requests / self.total.max(MIN_TOTAL))
     }
 }
--- a/crates/core/src/balancer/ranking.rs
+++ b/crates/core/src/balancer/ranking.rs
@@ -203,8 +203,8 @@
         let work = service.work_times.get(&query.route).copied().unwrap_or_default();
         let usual_other_requests = service.usual_other_requests(now);
         let usual_excess = service.usual_excess(now);
-        let is_shared = self.sharing.is_on;
-        let report_weight = self.sharing.report_weight();
+        let is_shared = self.sharing.is_on && service.reports_load;
+        let report_weight = if is_shared { self.sharing.report_weight() } else { 0.0 };
         let (candidates, usable_targets) = self.candidates(now, query);
         let copies = match query.object {
             Some(object) if is_shared => service.variety.copies(object, usable_targets),
--- a/crates/core/src/balancer/sharing.rs
+++ b/crates/core/src/balancer/sharing.rs
@@ -58,7 +58,8 @@
 }
 
 impl Balancer {
-    /// Switches the sharing of load on or off. It is off at first.
+    /// Switches the sharing of load on or off. It is off at first. While it is on, it changes the
+    /// choices for services whose targets report their load.
     pub fn set_shared_load(&mut self, is_on: bool) {
         if self.sharing.is_on && !is_on {
             let removal = self.sharing.ledger.expire(Instant::MAX);
--- a/crates/core/src/work.rs
+++ b/crates/core/src/work.rs
@@ -39,6 +39,8 @@
     other_requests: f64,
     other_requests_at: Instant,
     pub(crate) cold_per_s: f64,
+    /// Whether its targets report their load.
+    pub(crate) reports_load: bool,
     /// Usual excess of the targets' own figures over the reports of the region's gateways.
     usual_excess: f64,
     /// The objects that are requested.
@@ -85,6 +87,7 @@
             other_requests: 0.0,
             other_requests_at: Instant::ZERO,
             cold_per_s: 0.0,
+            reports_load: false,
             usual_excess: 0.0,
             variety: Variety::default(),
         }
@@ -92,6 +95,7 @@
 
     /// Records that a target reported `other_requests` requests of other machines.
     pub(crate) fn record_other_requests(&mut self, now: Instant, other_requests: f64) {
+        self.reports_load = true;
         let weight = 1.0 - decay(now, self.other_requests_at, OTHER_REQUESTS_TIME_CONSTANT_MS);
         self.other_requests += weight.max(SAMPLE_WEIGHT) * (other_requests - self.other_requests);
         self.other_requests_at = now;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,4 +1,4 @@
-//! Heartbeats between machines over UDP. `replication` passes store objects between them over HTTP.
+//! Heartbeats between machines over UDP, on the same socket as the load reports of `load`. `replication` passes store objects between them over HTTP.
 
 use std::io;
 use std::net::{IpAddr, SocketAddr, UdpSocket};
@@ -12,6 +12,7 @@
 use smol::Async;
 
 use crate::gateway::Gateway;
+use crate::load::{self, Loads};
 
 /// Receive buffer for one datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
@@ -28,6 +29,7 @@
 pub struct Gossip {
     gateway: Rc<Gateway>,
     socket: Async<UdpSocket>,
+    loads: Loads,
 }
 
 impl Gossip {
@@ -36,7 +38,11 @@
     /// Errors: the address cannot be bound.
     pub fn new(gateway: &Rc<Gateway>) -> io::Result<Gossip> {
         let address = SocketAddr::new(gateway.settings.address, gateway.settings.listen.mesh_port);
-        Ok(Gossip { gateway: gateway.clone(), socket: Async::<UdpSocket>::bind(address)? })
+        Ok(Gossip {
+            gateway: gateway.clone(),
+            socket: Async::<UdpSocket>::bind(address)?,
+            loads: Loads::default(),
+        })
     }
 
     /// Receives messages from other machines, for the lifetime of the process.
@@ -48,6 +54,10 @@
                 // usable.
                 continue;
             };
+            if bytes[..length].first() == Some(&load::FIRST_BYTE) {
+                self.loads.handle_report(&self.gateway, &bytes[1..length], from.ip());
+                continue;
+            }
             match postcard::from_bytes::<Message>(&bytes[..length]) {
                 Ok(message) => self.handle_message(message, from).await,
                 Err(error) => {
@@ -99,6 +109,15 @@
         }
     }
 
+    /// Sends this round's load reports, if load is shared.
+    async fn send_load_reports(&self) {
+        for (recipient, bytes) in self.loads.next_reports(&self.gateway) {
+            let to = SocketAddr::new(recipient, self.gateway.settings.listen.mesh_port);
+            // The next report makes up for a lost one.
+            let _ = self.socket.send_to(&bytes, to).await;
+        }
+    }
+
     /// Tells all live machines that this one no longer takes requests.
     pub async fn announce_leaving(&self) {
         let addresses: Vec<IpAddr> = {
@@ -124,6 +143,7 @@
     pub async fn run_heartbeats(&self) {
         loop {
             self.send_heartbeat().await;
+            self.send_load_reports().await;
             let dead = self.gateway.state().membership.expire(clock::now(), EXPIRY_INTERVAL);
             if !dead.is_empty() {
                 self.gateway.log.record(Event::PeerDisconnected, json!({ "peers": dead }));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod gateway;
 mod gossip;
 mod listener;
+mod load;
 mod log;
 mod metric;
 pub mod mirror;
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -63,6 +63,37 @@
     pub route: String,
 }
 
+/// What became of a load report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum ReportResult {
+    /// Sent to another gateway.
+    Sent,
+    /// Received, and counted.
+    Received,
+    /// Received after a newer one of the same gateway.
+    Outdated,
+    /// Received, and not readable.
+    Malformed,
+    /// Received from a machine that is not known as a live one of the region.
+    UnknownSender,
+    /// Received while this machine does not share load.
+    Off,
+}
+
+/// Labels of load reports.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReportLabels {
+    /// What became of them.
+    pub result: ReportResult,
+}
+
+/// Labels of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabels {
+    /// Name of the service.
+    pub service: String,
+}
+
 /// The metrics of one process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -99,6 +130,18 @@
     pub body_bytes: Gauge,
     /// The most bytes that request bodies took at once.
     pub body_bytes_peak: Gauge,
+    /// Load reports sent and received.
+    pub load_reports: Family<ReportLabels, Counter>,
+    /// Bytes of the load reports sent.
+    pub load_report_bytes: Counter,
+    /// Other gateways whose load report counts.
+    pub load_reporters: Gauge,
+    /// Age of the oldest load report that counts, in seconds.
+    pub load_report_age: Gauge<f64, AtomicU64>,
+    /// Load of the busiest target relative to the mean of its service.
+    pub load_spread: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
+    /// Requests per slot at the targets of a service.
+    pub load_per_slot: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
 }
 
 impl Metrics {
@@ -122,6 +165,12 @@
             connections: Gauge::default(),
             body_bytes: Gauge::default(),
             body_bytes_peak: Gauge::default(),
+            load_reports: Family::default(),
+            load_report_bytes: Counter::default(),
+            load_reporters: Gauge::default(),
+            load_report_age: Gauge::default(),
+            load_spread: Family::default(),
+            load_per_slot: Family::default(),
             registry: Registry::default(),
         };
         registry.register("requests", "Finished requests", metrics.requests.clone());
@@ -176,9 +225,45 @@
             Unit::Bytes,
             metrics.body_bytes_peak.clone(),
         );
+        metrics.register_load(&mut registry);
         Metrics { registry, ..metrics }
     }
 
+    fn register_load(&self, registry: &mut Registry) {
+        registry.register(
+            "load_reports",
+            "Load reports sent and received",
+            self.load_reports.clone(),
+        );
+        registry.register_with_unit(
+            "load_report",
+            "Load reports sent",
+            Unit::Bytes,
+            self.load_report_bytes.clone(),
+        );
+        registry.register(
+            "load_reporters",
+            "Other gateways whose load report counts",
+            self.load_reporters.clone(),
+        );
+        registry.register_with_unit(
+            "load_report_age",
+            "Age of the oldest load report that counts",
+            Unit::Seconds,
+            self.load_report_age.clone(),
+        );
+        registry.register(
+            "load_spread",
+            "Load of the busiest target relative to the mean of its service",
+            self.load_spread.clone(),
+        );
+        registry.register(
+            "load_per_slot",
+            "Requests per slot at the targets of a service",
+            self.load_per_slot.clone(),
+        );
+    }
+
     /// Encodes the metrics in OpenMetrics text format.
     pub fn to_text(&self) -> String {
         let mut text = String::new();
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 
 use crate::gateway::Gateway;
+use crate::load;
 use crate::metric::KindLabels;
 
 /// Targets of one update that are logged one by one, at most.
@@ -176,6 +177,7 @@
         let now = clock::now();
         let state = self.state();
         self.metrics.version.set(state.version as i64);
+        load::update_gauges(self, &state, now);
         self.metrics.targets.set(state.balancer.target_count() as i64);
         self.metrics.machines.set(state.membership.live_peers(now).count() as i64 + 1);
         for (kind, mirror) in &state.mirrors {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -109,6 +109,8 @@
 
     /// A target asked this machine to send no requests for a time.
     TargetRefusing = 505 Info "target turns this machine away",
+    /// How evenly the load is spread over targets, while gateways share it.
+    LoadSpread = 520 Info "spread of load",
 
     /// A caller's request was malformed.
     CallerRefused = 600 Warn "caller refused",
