--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,4 +1,4 @@
-//! Heartbeats between machines over UDP. `replication` passes store objects between them over HTTP.
+//! Heartbeats between machines over UDP, on the same socket as the load reports of `load`. `replication` passes store objects between them over HTTP.
 
 use std::io;
 use std::net::{IpAddr, SocketAddr, UdpSocket};
@@ -14,6 +14,7 @@
 
 use crate::allotment;
 use crate::gateway::Gateway;
+use crate::load::{self, Loads};
 
 /// Receive buffer for one datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
@@ -30,6 +31,7 @@
 pub struct Gossip {
     gateway: Rc<Gateway>,
     socket: Async<UdpSocket>,
+    loads: Loads,
 }
 
 impl Gossip {
@@ -38,7 +40,11 @@
     /// Errors: the address cannot be bound.
     pub fn new(gateway: &Rc<Gateway>) -> io::Result<Gossip> {
         let address = SocketAddr::new(gateway.settings.address, gateway.settings.listen.mesh_port);
-        Ok(Gossip { gateway: gateway.clone(), socket: Async::<UdpSocket>::bind(address)? })
+        Ok(Gossip {
+            gateway: gateway.clone(),
+            socket: Async::<UdpSocket>::bind(address)?,
+            loads: Loads::default(),
+        })
     }
 
     /// Receives messages from other machines, for the lifetime of the process.
@@ -53,17 +59,22 @@
             // Without it, datagrams that arrive fast would keep all other tasks waiting.
             future::yield_now().await;
             let datagram = &bytes[..length];
-            let result = if allotment::is_quota_datagram(datagram) {
-                self.gateway.allotments.handle_datagram(from.ip(), datagram)
-            } else {
-                match postcard::from_bytes::<Message>(datagram) {
+            let result = match datagram.first() {
+                Some(&load::FIRST_BYTE) => {
+                    self.loads.handle_report(&self.gateway, &datagram[1..], from.ip());
+                    Ok(())
+                }
+                Some(_) if allotment::is_quota_datagram(datagram) => {
+                    self.gateway.allotments.handle_datagram(from.ip(), datagram)
+                }
+                _ => match postcard::from_bytes::<Message>(datagram) {
                     Ok(message) => {
                         self.gateway.allotments.record_contact(from.ip());
                         self.handle_message(message, from).await;
                         Ok(())
                     }
                     Err(error) => Err(error),
-                }
+                },
             };
             if let Err(error) = result {
                 let fields = json!({ "from": from.to_string(), "error": error.to_string() });
@@ -118,6 +129,15 @@
         }
     }
 
+    /// Sends this round's load reports, if load is shared.
+    async fn send_load_reports(&self) {
+        for (recipient, bytes) in self.loads.next_reports(&self.gateway) {
+            let to = SocketAddr::new(recipient, self.gateway.settings.listen.mesh_port);
+            // The next report makes up for a lost one.
+            let _ = self.socket.send_to(&bytes, to).await;
+        }
+    }
+
     /// Tells all live machines that this one no longer takes requests.
     pub async fn announce_leaving(&self) {
         let addresses: Vec<IpAddr> = {
@@ -143,6 +163,7 @@
     pub async fn run_heartbeats(&self) {
         loop {
             self.send_heartbeat().await;
+            self.send_load_reports().await;
             let dead = self.gateway.state().membership.expire(clock::now(), EXPIRY_INTERVAL);
             if !dead.is_empty() {
                 self.gateway.log.record(Event::PeerDisconnected, json!({ "peers": dead }));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod gossip;
 mod limit;
 mod listener;
+mod load;
 mod log;
 mod metric;
 pub mod mirror;
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 
 use crate::gateway::Gateway;
+use crate::load;
 use crate::metric::KindLabels;
 
 /// Targets of one update that are logged one by one, at most.
@@ -71,6 +72,7 @@
         state.version = config.version;
         state.limits = config.limits;
         state.features = config.features;
+        state.balancer.set_shared_load(config.features.shared_load);
         for service in &config.services {
             let shared = &self.settings.shared;
             let cold_limit_per_s = service.cold_per_s * shared.cold_factor + shared.cold_allowance;
@@ -253,6 +255,7 @@
         self.allotments.update_gauges(self);
         let state = self.state();
         self.metrics.version.set(state.version as i64);
+        load::update_gauges(self, &state, now);
         self.metrics.targets.set(state.balancer.target_count() as i64);
         self.metrics.machines.set(state.membership.live_peers(now).count() as i64 + 1);
         for (kind, mirror) in &state.mirrors {
