--- a/crates/core/src/era.rs
+++ b/crates/core/src/era.rs
@@ -16,8 +16,8 @@
 /// never taken for a new store.
 pub const REPLACED_AFTER: Span = Span::from_secs(10);
 
-/// Time after the first list of a new era during which what was known before stays in force. Targets
-/// check in every 1.5 s with a delay of up to 3 s.
+/// Time after the first list of a new era during which what was known before stays in force.
+/// Targets check in every 1.5 s with a delay of up to 3 s.
 pub const HOLD_TIME: Span = Span::from_secs(5);
 
 /// Number of restores of the store; 0 for a store that states none.
--- a/crates/core/src/evacuation.rs
+++ b/crates/core/src/evacuation.rs
@@ -3,9 +3,9 @@
 //!
 //! After a restore of the store from an older snapshot, an evacuation may be missing that was
 //! acknowledged, and one that was ended may be listed again. Until the operator has had
-//! [`HOLD_TIME`] to write again, what was in force stays in force. A data centre that has never been
-//! evacuated as far as this machine knows is evacuated at once: the operator may have written it
-//! after the restore, and to send no requests is the safe side.
+//! [`HOLD_TIME`] to write again, what was in force stays in force. A data centre that has never
+//! been evacuated as far as this machine knows is evacuated at once: the operator may have written
+//! it after the restore, and to send no requests is the safe side.
 
 use std::collections::HashSet;
 
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -148,7 +148,7 @@
     /// Polls the machine at `address` for newer objects and applies them. Returns the age of its
     /// copy and the number of machines between it and the store.
     ///
-    /// Errors: the peer did not answer, or has no current copy of the era that this machine follows.
+    /// Errors: the peer did not answer, or has no current copy of the era that is followed here.
     pub async fn poll(&mut self, gateway: &Rc<Gateway>, address: IpAddr) -> Result<Origin, Error> {
         let peer = SocketAddr::new(address, gateway.settings.listen.mesh_port);
         let client = match self.client.take() {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -139,9 +139,9 @@
 }
 
 /// Makes this machine known to the fleet: contacts the seeds, registers in the store's list of
-/// machines once the store answers it, and reads that list while it has no live peer. A restored
-/// store may have lost the entry, which is then written again. A machine without peers always watches the store itself and so is listed there, which lets separated
-/// groups find each other.
+/// machines once the store answers it, and reads that list while it has no live peer. A machine
+/// without peers always watches the store itself and so is listed there, which lets separated
+/// groups find each other. A restored store may have lost the entry, which is then written again.
 async fn join_fleet(gateway: &Rc<Gateway>, gossip: &Gossip) {
     let client = Client::new(gateway.executor.clone(), gateway.settings.store.address);
     let seeds: Vec<IpAddr> = gateway.settings.seeds.iter().map(SocketAddr::ip).collect();
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -88,8 +88,8 @@
 
     /// Makes a call and returns the reply.
     ///
-    /// Errors in the reply: none within `timeout`, after which a write may or may not have been applied, or
-    /// a status other than success.
+    /// Errors in the reply: there was none within `timeout`, after which a write may or may not
+    /// have been applied, or its status is not success.
     pub async fn call(
         &self,
         method: Method,
