Weigh load less where caches have no room for copies

With 200 objects on 36 targets that keep 14 each, an even spread took objects out of the caches: 0.866 of the requests were served within the objective, 0.879 without shared load. Load now counts a third where a second copy of each object does not fit.

--- a/crates/core/src/balancer/ranking.rs
+++ b/crates/core/src/balancer/ranking.rs
@@ -29,6 +29,9 @@
 /// If load is shared, the cost in mean work times of each request per slot. Without it, load counts
 /// only where a request has to wait, and the busiest target had 1.43 times the mean load.
 const LOAD_PENALTY: f64 = 3.0;
+/// The same where caches have no room for a second copy of each object. With 3.0, clients got 1.4 in
+/// 100 replies in time less than without shared load.
+const SCARCE_LOAD_PENALTY: f64 = 1.0;
 /// If load is shared, requests per slot up to which a target that does not cache the object gets a
 /// request at the first attempt. Up to 1.0, uncached work was 2.9% instead of 1.1% of the work.
 const MAX_SPILL_LOAD: f64 = 0.25;
@@ -211,6 +214,8 @@
             _ => Copies { count: CACHING_TARGETS, has_room: false },
         };
         let is_spill_limited = is_shared && query.tried.is_empty();
+        let load_penalty =
+            if copies.has_room || !has_object { LOAD_PENALTY } else { SCARCE_LOAD_PENALTY };
         let mut ranked = Vec::new();
         for (position, candidate) in candidates.into_iter().enumerate() {
             let target = &self.targets[candidate.target];
@@ -246,7 +251,7 @@
             let penalty = if would_displace { UNCACHED_PENALTY } else { penalty };
             let load_ms = if is_shared {
                 let noise = if would_displace { 0.0 } else { self.sharing.random() };
-                LOAD_PENALTY * (requests + noise) / slots * mean_ms
+                load_penalty * (requests + noise) / slots * mean_ms
             } else {
                 0.0
             };
--- a/crates/core/tests/even_load.rs
+++ b/crates/core/tests/even_load.rs
@@ -86,7 +86,7 @@
     let fleet = Fleet { targets: 36, slots: 6, objects: 200, cache: 14, load: 0.5, ..fleet(12) };
     let on = run(fleet);
     let off = run(Fleet { reports: Reports::Off, ..fleet });
-    assert!(on.served > off.served - 0.03, "{on:?}, off: {off:?}");
+    assert!(on.served > off.served - 0.01, "{on:?}, off: {off:?}");
     assert!(on.rejected <= MAX_REJECTED, "{on:?}");
 }
 
