--- a/crates/core/tests/allotment.rs
+++ b/crates/core/tests/allotment.rs
@@ -130,6 +130,7 @@
     loss: f64,
     late: f64,
     quota_bytes: usize,
+    surge_machines: usize,
     lowered_at: Option<Instant>,
     /// Limit of the first tenant before it was lowered.
     old_limit: Limit,
@@ -176,6 +177,7 @@
             loss,
             late,
             quota_bytes: 0,
+            surge_machines: SURGE_MACHINES,
             lowered_at: None,
         };
         for index in 0..size {
@@ -334,7 +336,7 @@
         let index = loop {
             let count = self.machines.len();
             let index = match is_surging {
-                true => (tenant * 5 + self.rng.usize(0..SURGE_MACHINES)) % count,
+                true => (tenant * 5 + self.rng.usize(0..self.surge_machines)) % count,
                 false => self.rng.usize(0..count),
             };
             let is_chosen = is_surging || self.rng.u8(0..5) < self.machines[index].strength;
@@ -541,6 +543,23 @@
     }
 }
 
+#[test_case(12, 8; "of 12 machines")]
+#[test_case(83, 4; "of 83 machines")]
+fn rolling_restarts(size: usize, seeds: u64) {
+    for seed in 0..seeds {
+        let mut fleet = Fleet::new(size, seed, 0.01, 0.01);
+        for step in 0..8 {
+            let start = 12.0 + 2.0 * f64::from(step);
+            fleet.fault(start, Fault::Kill(0.1));
+            fleet.fault(start + 1.5, Fault::Restart);
+        }
+        fleet.run(30.0);
+        let (ratio, all, small, _) = fleet.report("rolling restarts");
+        assert!(ratio <= 1.0);
+        assert!(all < RESTART_SHARE && small < RESTART_SHARE);
+    }
+}
+
 /// The machines that are cut off know neither the owners nor what the others grant.
 #[test_case(12, 8; "of 12 machines")]
 #[test_case(83, 4; "of 83 machines")]
@@ -589,6 +608,21 @@
     }
 }
 
+/// Each machine that is cut off uses what it may of the quotas.
+#[test_case(12, 8; "of 12 machines")]
+#[test_case(83, 1; "of 83 machines")]
+fn surge_everywhere(size: usize, seeds: u64) {
+    for seed in 0..seeds {
+        let mut fleet = Fleet::new(size, seed, 0.02, 0.02);
+        fleet.surge_machines = size;
+        fleet.fault(12.5, Fault::Surge);
+        fleet.fault(12.5, Fault::CutOff(0.35));
+        fleet.fault(24.5, Fault::Reconnect);
+        fleet.run(30.0);
+        assert!(fleet.report("surge everywhere").0 <= 1.0);
+    }
+}
+
 #[test_case(12, 4; "of 12 machines")]
 #[test_case(83, 2; "of 83 machines")]
 fn lowered_limit(size: usize, seeds: u64) {
@@ -612,8 +646,9 @@
     fleet.fault(11.0, Fault::Kill(0.6));
     fleet.fault(13.0, Fault::Restart);
     fleet.run(19.0);
-    let (ratio, _, _, bytes) = fleet.report("restarts");
+    let (ratio, all, _, bytes) = fleet.report("restarts");
     assert!(ratio <= 1.0);
+    assert!(all < RESTART_SHARE);
     assert!(bytes < MAX_BYTES_PER_S);
     fleet.reset();
     fleet.fault(19.0, Fault::Surge);
