Give the tokens of requests that do not run back to the quota

The token of a waiting request is given back too and taken again before it is sent, so that it runs when it is counted.

--- a/crates/core/src/allotment.rs
+++ b/crates/core/src/allotment.rs
@@ -353,6 +353,14 @@
         }
     }
 
+    /// Returns the token of a request that did not run. It goes back to the owner, whose bucket takes
+    /// no more than the burst, so that tokens of many refused requests cannot be used together.
+    pub fn give_back(&mut self, tenant: u32) {
+        if let Some(account) = self.accounts.get_mut(&tenant) {
+            account.add_expired(1);
+        }
+    }
+
     fn decide(&mut self, now: Instant, tenant: u32, since: Instant, arrivals: u16) -> Verdict {
         let silence = now.since(self.last_heard);
         let has_contact = self.has_contact(now);
--- a/crates/gateway/src/allotment.rs
+++ b/crates/gateway/src/allotment.rs
@@ -124,6 +124,11 @@
         }
     }
 
+    /// Returns the token of a request that did not run.
+    pub fn give_back(&self, tenant: u32) {
+        self.state.borrow_mut().give_back(tenant);
+    }
+
     /// Changes the state, and wakes the tasks that the change concerns.
     fn update<T>(&self, change: impl FnOnce(&mut Allotment, Instant) -> T) -> T {
         let mut state = self.state.borrow_mut();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -5,6 +5,7 @@
 mod body;
 mod forward;
 mod place;
+mod quota;
 mod read;
 mod reply;
 
@@ -23,6 +24,7 @@
 use serde_json::{Value, json};
 
 use self::access::{Access, Rejection};
+use self::quota::Token;
 use crate::body::Body;
 use crate::budget::Reservation;
 use crate::gateway::{Gateway, Phase};
@@ -40,6 +42,7 @@
     _reservation: Reservation,
     pub(crate) route: MatchedRoute,
     pub(crate) access: Access,
+    token: Token,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
 }
--- a/crates/gateway/src/request/access.rs
+++ b/crates/gateway/src/request/access.rs
@@ -1,15 +1,13 @@
 //! Which tenant a request belongs to, by its key and the configuration in force.
 
-use ebonypass_core::allotment::tenant_hash;
 use ebonypass_core::balancer::RegionSet;
 use ebonypass_core::outcome::Reason;
 use ebonypass_core::tenant::{Digest, TenantId};
-use ebonypass_core::time::{Instant, Span};
+use ebonypass_core::time::Span;
 use ebonypass_platform::header;
 use hyper::HeaderMap;
 
 use super::Job;
-use crate::allotment::Allotments;
 use crate::gateway::{Gateway, State};
 
 /// Ranks of one tenant. Routes with a priority of as much or more share ranks with those of the next
@@ -170,22 +168,3 @@
         Some(Err(_)) => false,
     }
 }
-
-/// Takes a request from the quota of a tenant, and waits until `deadline` for it at most.
-///
-/// Errors: the quota is used up; the caller should retry after this time.
-pub(super) async fn take_quota(
-    gateway: &Gateway,
-    tenant: TenantId,
-    deadline: Instant,
-) -> Result<(), Span> {
-    let hash = {
-        let state = gateway.state();
-        let tenant = state.tenants.as_ref().and_then(|table| table.get(tenant));
-        tenant.filter(|tenant| tenant.limit.is_some()).map(|tenant| tenant_hash(&tenant.name))
-    };
-    match hash {
-        Some(hash) => Allotments::admit(gateway, hash, deadline).await,
-        None => Ok(()),
-    }
-}
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -70,7 +70,7 @@
             // A target has seen the request and has not run it, or `last` says how it ended.
             break (if has_sent { Reason::Shed } else { reason }, None);
         }
-        let choice = match place(gateway, &job, &tried).await {
+        let choice = match place(gateway, &mut job, &tried).await {
             Ok(choice) => choice,
             Err(unplaced) => {
                 let (reason, retry_after, fields) = refuse(&job, unplaced, tried.is_empty());
@@ -80,6 +80,7 @@
         };
         tried.push(choice.target);
         let start = clock::now();
+        let was_used = job.token.start_attempt();
         let guard = AttemptGuard::new(gateway, job.route.service, &choice);
         let timer = async {
             gateway.wait_for_deadline(job.deadline).await;
@@ -93,6 +94,9 @@
         // An attempt that sent nothing does not make the next one a retry.
         let was_sent = !matches!(outcome, Some(Outcome::Unreachable(_) | Outcome::Unsent(_)));
         has_sent |= was_sent;
+        if !was_sent || matches!(outcome, Some(Outcome::NotRun(_))) {
+            job.token.undo_attempt(was_used);
+        }
         attempts.push(attempt_fields(gateway, &job, &choice, start, outcome.as_ref()));
         match outcome {
             None => break (Reason::DeadlinePassedRunning, None),
@@ -150,6 +154,7 @@
             let wait = wait.min(MAX_RETRY_AFTER);
             (Reason::DeadlineTooClose, Some(wait), Some(crowded_fields(job, wait)))
         }
+        Unplaced::OverQuota(wait) => (Reason::AllotmentExhausted, Some(wait), None),
         Unplaced::Stopping => (Reason::Stopping, None, None),
     }
 }
--- a/crates/gateway/src/request/place.rs
+++ b/crates/gateway/src/request/place.rs
@@ -26,6 +26,8 @@
     Refused(Refusal),
     /// It would miss its deadline behind those that go first. It may come back after this time.
     Crowded(Span),
+    /// The tenant's quota is used up. It may come back after this time.
+    OverQuota(Span),
     /// The process stops.
     Stopping,
 }
@@ -34,7 +36,7 @@
 /// until there is room for it.
 pub(super) async fn place(
     gateway: &Rc<Gateway>,
-    job: &Job,
+    job: &mut Job,
     tried: &[TargetId],
 ) -> Result<Choice, Unplaced> {
     let may_wait = tried.is_empty() && gateway.state().features.pressure;
@@ -52,6 +54,8 @@
         match decide(gateway, now, job, &choice, &waiter) {
             Verdict::Send => {
                 let work = choice.expected_work_time;
+                let token = job.token.take_again(job.deadline).await;
+                token.map_err(Unplaced::OverQuota)?;
                 gateway.waiting.borrow_mut().queue.record_sent(waiter.flow, work);
                 return Ok(choice);
             }
@@ -63,6 +67,7 @@
                     let labels = RouteLabels { route: job.route.name.clone() };
                     gateway.metrics.waits.get_or_create(&labels).inc();
                 }
+                job.token.give_back();
                 let place = Place::new(gateway, waiter);
                 let end = end.min(now + RECHECK_INTERVAL).min(job.deadline);
                 future::or(place.wait_for_slot(), gateway.wait_for_deadline(end)).await;
--- a/crates/gateway/src/request/read.rs
+++ b/crates/gateway/src/request/read.rs
@@ -13,7 +13,8 @@
 use hyper::http::request::Parts;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::access::{Access, Rejection, take_quota};
+use super::access::{Access, Rejection};
+use super::quota::Token;
 use super::{InFlightGuard, Job, MatchedRoute};
 use crate::gateway::{Gateway, Phase};
 
@@ -40,12 +41,11 @@
         .map_or(route.timeout, |left| (left - DEADLINE_MARGIN).min(route.timeout));
     let deadline = arrived + time_left;
     in_flight.tenant = access.owner.as_ref().map(|owner| owner.name.clone());
-    if let Some(tenant) = tenant {
-        take_quota(gateway, tenant, deadline).await.map_err(|wait| Rejection {
-            reason: Reason::AllotmentExhausted,
-            retry_after: Some(wait),
-        })?;
-    }
+    let token = Token::take(gateway, tenant, deadline).await;
+    let token = token.map_err(|wait| Rejection {
+        reason: Reason::AllotmentExhausted,
+        retry_after: Some(wait),
+    })?;
     in_flight.count_arrival();
     let now = clock::now();
     gateway.state().retry_budget(now, &gateway.settings, route.service).record_request(now);
@@ -71,6 +71,7 @@
         _reservation: reservation,
         route,
         access,
+        token,
         arrived,
         deadline,
     })
