Take busy owners of quotas for alive, and wake only the tenant concerned

An ask was repeated after 50 ms, hardly more than a round trip between regions, and the tries of all tenants counted together, so an owner under load was taken for gone, its quotas were taken over with almost empty buckets, and each answer woke the waiting requests of all tenants.

--- a/crates/core/src/allotment.rs
+++ b/crates/core/src/allotment.rs
@@ -18,7 +18,7 @@
 
 use std::net::IpAddr;
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use xxhash_rust::xxh3::xxh3_64;
 
 pub use crate::tenant::Limit;
@@ -35,13 +35,16 @@
 pub const MAX_WAIT: Span = Span::from_millis(500);
 /// Time between two calls of [`Allotment::poll`].
 pub const POLL_INTERVAL: Span = Span::from_millis(20);
-/// An ask without an answer is repeated after this time. A round trip between regions takes 40 ms.
-const ASK_TIMEOUT: Span = Span::from_millis(50);
+/// An ask without an answer is repeated after this time. A round trip between regions takes 40 ms,
+/// and a busy machine answers tens of milliseconds later: with 50 ms, owners under load were asked
+/// twice and then taken for gone.
+const ASK_TIMEOUT: Span = Span::from_millis(120);
 /// Asks that one machine leaves without an answer before others are asked.
-const MAX_TRIES: u32 = 3;
+const MAX_TRIES: u32 = 2;
 /// The same once the first machine has not answered: after a fault of many machines, several of an
 /// order may be gone.
 const FALLBACK_TRIES: u32 = 1;
+const FALLBACK_TIMEOUT: Span = Span::from_millis(60);
 /// Time for which a machine that did not answer is not asked, unless a datagram of it arrives.
 const MUTE_TIME: Span = Span::from_secs(3);
 /// Time for which a machine that answered as the owner is asked first.
@@ -51,7 +54,7 @@
 /// Machines that may pass an ask on before it is delayed.
 const MAX_HOPS: u32 = 3;
 /// Requests of one tenant that wait at once. More are denied.
-const MAX_WAITING: u16 = 256;
+const MAX_WAITING: u16 = 64;
 /// A process that has run for less than this owns no quota: it may not know all machines.
 const SETTLING_TIME: Span = Span::from_secs(5);
 /// The same after a time without contact, at the end of which a machine takes others for dead: it
@@ -98,7 +101,7 @@
 pub enum Verdict {
     /// Yes.
     Granted,
-    /// Not yet known. The caller asks again when [`Allotment::has_news`] says so, and after
+    /// Not yet known. The caller asks again when [`Allotment::take_news`] says so, and after
     /// [`MAX_WAIT`].
     Wait,
     /// No. The caller of the request may try again after this time.
@@ -206,7 +209,8 @@
     /// Machines that do not own quotas yet, and until when.
     settling: FxHashMap<IpAddr, Instant>,
     outbox: Outbox,
-    has_news: bool,
+    /// Tenants whose waiting requests should ask again.
+    news: Vec<u32>,
 }
 
 impl Allotment {
@@ -229,7 +233,7 @@
             muted: FxHashMap::default(),
             settling: FxHashMap::default(),
             outbox: Outbox::default(),
-            has_news: false,
+            news: Vec::new(),
         }
     }
 
@@ -244,7 +248,7 @@
         for (tenant, limit) in limits {
             self.accounts.entry(tenant).or_insert_with(|| Account::new(now, limit)).limit = limit;
         }
-        self.has_news = true;
+        self.news.extend(self.accounts.keys());
     }
 
     /// Whether there are messages to be sent.
@@ -296,8 +300,8 @@
     }
 
     /// Whether an answer has arrived since the last call, so that waiting requests should ask again.
-    pub fn has_news(&mut self) -> bool {
-        std::mem::take(&mut self.has_news)
+    pub fn take_news(&mut self) -> Vec<u32> {
+        std::mem::take(&mut self.news)
     }
 
     /// The quotas that this machine owns, with the fraction of the bucket that is used.
@@ -517,7 +521,7 @@
             Answer::Free | Answer::Held | Answer::Released { .. } => {
                 let (ledger, context, _) = self.ledger(now);
                 ledger.handle_claim_answer(now, tenant, from, answer, &context);
-                self.has_news = true;
+                self.news.push(tenant);
                 return;
             }
             Answer::Granted { sent_ms, count } => {
@@ -536,7 +540,7 @@
             Some(open) if open.to == from => account.open_ask = None,
             None if from == own => {}
             _ => {
-                self.has_news = true;
+                self.news.push(tenant);
                 return;
             }
         }
@@ -585,13 +589,14 @@
             }
             Answer::Free | Answer::Held | Answer::Released { .. } => {}
         }
-        self.has_news = true;
+        self.news.push(tenant);
     }
 
     /// Handles time-outs. Called every [`POLL_INTERVAL`].
     pub fn poll(&mut self, now: Instant) {
         let is_late = |account: &Account| {
-            account.open_ask.is_some_and(|open| now.since(open.sent_at) >= ASK_TIMEOUT)
+            let timeout = if account.is_fallback { FALLBACK_TIMEOUT } else { ASK_TIMEOUT };
+            account.open_ask.is_some_and(|open| now.since(open.sent_at) >= timeout)
         };
         let is_due = |account: &Account| {
             account.open_ask.is_none() && account.waiting > 0 && now >= account.next_ask_at
@@ -603,11 +608,13 @@
             .collect();
         // The iteration order of the hash map depends on its history.
         tenants.sort_unstable();
+        let mut is_missed = FxHashSet::default();
         for tenant in tenants {
             let Some(account) = self.accounts.get_mut(&tenant) else { continue };
             if let Some(open) = account.open_ask {
                 let missed = self.missed.entry(open.to).or_default();
-                *missed += 1;
+                // Asks of several tenants are lost with one datagram.
+                *missed += u32::from(is_missed.insert(open.to));
                 let limit = if account.is_fallback { FALLBACK_TRIES } else { MAX_TRIES };
                 if open.tries >= limit || *missed >= limit {
                     self.muted.insert(open.to, now + MUTE_TIME);
--- a/crates/core/tests/allotment.rs
+++ b/crates/core/tests/allotment.rs
@@ -293,7 +293,7 @@
     fn drain(&mut self, index: usize) {
         let now = self.now;
         let Some(process) = &mut self.machines[index].process else { return };
-        let has_news = process.allotment.has_news();
+        let has_news = !process.allotment.take_news().is_empty();
         let waiting = std::mem::take(&mut process.waiting);
         for (tenant, since, is_within) in waiting {
             if !has_news && now.since(since) < MAX_WAIT {
--- a/crates/gateway/src/allotment.rs
+++ b/crates/gateway/src/allotment.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 
 use ebonypass_core::allotment::{
     Allotment, Limit, MAX_WAIT, Member, Message, POLL_INTERVAL, REPLY_BYTE, REQUEST_BYTE, Verdict,
@@ -35,8 +36,8 @@
 #[derive(Debug)]
 pub struct Allotments {
     state: RefCell<Allotment>,
-    /// Notified when requests that wait should ask again.
-    changed: Signal,
+    /// Notified when the requests of a tenant that wait should ask again.
+    signals: RefCell<BTreeMap<u32, Rc<Signal>>>,
     /// Notified when there are messages to be sent.
     has_messages: Signal,
     /// Metric labels, by the hashes of the tenants' names.
@@ -75,7 +76,7 @@
         let state = Allotment::new(clock::now(), settings.address, tolerance, has_peers);
         Allotments {
             state: RefCell::new(state),
-            changed: Signal::new(),
+            signals: RefCell::default(),
             has_messages: Signal::new(),
             labels: RefCell::default(),
             rejected: RefCell::default(),
@@ -112,8 +113,8 @@
                 Verdict::Denied(retry_after) => retry_after,
                 Verdict::Wait if clock::now() >= deadline => RETRY_AFTER_DEADLINE,
                 Verdict::Wait => {
-                    let changed = allotments.changed.listen();
-                    future::or(clock::sleep_until(end), changed).await;
+                    let signal = allotments.signal(tenant);
+                    future::or(clock::sleep_until(end), signal.listen()).await;
                     verdict = allotments.update(|state, now| state.retry(now, tenant, since));
                     waiting.is_decided = verdict != Verdict::Wait;
                     continue;
@@ -133,8 +134,9 @@
     fn update<T>(&self, change: impl FnOnce(&mut Allotment, Instant) -> T) -> T {
         let mut state = self.state.borrow_mut();
         let result = change(&mut state, clock::now());
-        if state.has_news() {
-            self.changed.notify(usize::MAX);
+        let signals = self.signals.borrow();
+        for signal in state.take_news().iter().filter_map(|tenant| signals.get(tenant)) {
+            signal.notify(usize::MAX);
         }
         if state.has_messages() {
             self.has_messages.notify(1);
@@ -142,6 +144,10 @@
         result
     }
 
+    fn signal(&self, tenant: u32) -> Rc<Signal> {
+        self.signals.borrow_mut().entry(tenant).or_default().clone()
+    }
+
     fn label(&self, tenant: u32) -> QuotaLabels {
         let labels = self.labels.borrow();
         let name = labels.get(&tenant).map_or(OTHER_LABEL, String::as_str);
