--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -9,10 +9,12 @@
 
 mod estimate;
 mod ledger;
+mod preference;
 mod report;
 mod variety;
 
 pub use estimate::{Estimate, Usual};
 pub use ledger::{Ledger, Rejection};
+pub use preference::Preference;
 pub use report::{Group, MAX_REPORT_BYTES, Report, Rotation, target_key};
 pub use variety::{Copies, Variety};
--- a/crates/core/src/balance/variety.rs
+++ b/crates/core/src/balance/variety.rs
@@ -14,8 +14,6 @@
 const OBJECTS_PER_TARGET: f64 = 14.0;
 /// Targets that keep each object while there is room.
 const MIN_COPIES: usize = 2;
-/// Targets that keep an object at most.
-const MAX_COPIES: usize = 16;
 /// Copies of an object for each mean target's worth of requests: the most, if objects are few, and
 /// the fewest. With 3 at most, the busiest target of the simulations had 1.36 times the mean instead
 /// of 1.24; with 10, requests ran more often without their object.
@@ -72,14 +70,14 @@
     /// recorded. Each object gets two; a popular one gets more, since its requests alone may exceed
     /// what two targets can take. See Nasir et al., "When two choices are not enough: balancing at
     /// scale in distributed stream processing" (ICDE 2016).
-    pub fn copies(&self, object: u64, targets: f64) -> Copies {
+    pub fn copies(&self, object: u64, targets: f64, max_copies: usize) -> Copies {
         let objects_per_target = self.objects as f64 / targets.max(1.0);
         let first_copies = MIN_COPIES as f64 * objects_per_target;
         let per_load =
             (OBJECTS_PER_TARGET - first_copies).clamp(MIN_COPIES_PER_LOAD, MAX_COPIES_PER_LOAD);
         let copies = (per_load * targets * self.share(object)).ceil() as usize;
         Copies {
-            count: copies.clamp(MIN_COPIES, MAX_COPIES),
+            count: copies.clamp(MIN_COPIES, max_copies),
             has_room: first_copies <= OBJECTS_PER_TARGET || copies >= MIN_COPIES,
         }
     }
--- a/crates/core/src/balancer/ranking.rs
+++ b/crates/core/src/balancer/ranking.rs
@@ -23,15 +23,6 @@
 /// only for a real wait: the copy there stays in use, fewer connections are needed, and where cache
 /// space is short a second copy does not evict other objects.
 const POSITION_PENALTY: f64 = 1.0;
-/// The same if load is shared and there is room for the copies. With 1.0, the busiest target of the
-/// simulations in tests/even_load.rs had 1.81 times the mean load instead of 1.24.
-const SHARED_POSITION_PENALTY: f64 = 0.05;
-/// If load is shared, the cost in mean work times of each request per slot. Without it, load counts
-/// only where a request has to wait, and the busiest target had 1.43 times the mean load.
-const LOAD_PENALTY: f64 = 3.0;
-/// The same where caches have no room for a second copy of each object. With 3.0, clients got 1.4 in
-/// 100 replies in time less than without shared load.
-const SCARCE_LOAD_PENALTY: f64 = 1.0;
 /// If load is shared, requests per slot up to which a target that does not cache the object gets a
 /// request at the first attempt. Up to 1.0, uncached work was 2.9% instead of 1.1% of the work.
 const MAX_SPILL_LOAD: f64 = 0.25;
@@ -209,13 +200,16 @@
         let is_shared = self.sharing.is_on && service.reports_load;
         let report_weight = if is_shared { self.sharing.report_weight() } else { 0.0 };
         let (candidates, usable_targets) = self.candidates(now, query);
+        let costs = self.sharing.preference.costs();
         let copies = match query.object {
-            Some(object) if is_shared => service.variety.copies(object, usable_targets),
+            Some(object) if is_shared => {
+                service.variety.copies(object, usable_targets, costs.max_copies)
+            }
             _ => Copies { count: CACHING_TARGETS, has_room: false },
         };
         let is_spill_limited = is_shared && query.tried.is_empty();
         let load_penalty =
-            if copies.has_room || !has_object { LOAD_PENALTY } else { SCARCE_LOAD_PENALTY };
+            if copies.has_room || !has_object { costs.load } else { costs.scarce_load };
         let mut ranked = Vec::new();
         for (position, candidate) in candidates.into_iter().enumerate() {
             let target = &self.targets[candidate.target];
@@ -245,8 +239,7 @@
             latency_ms += if target.is_remote { REMOTE_PENALTY_MS } else { 0.0 };
             latency_ms += target.failure_score(now) * FAILURE_PENALTY * work_ms;
             latency_ms += if target.is_overdue(now) { mean_ms * 2.0 } else { 0.0 };
-            let position_penalty =
-                if copies.has_room { SHARED_POSITION_PENALTY } else { POSITION_PENALTY };
+            let position_penalty = if copies.has_room { costs.position } else { POSITION_PENALTY };
             let penalty = if is_cached { position as f64 * position_penalty } else { 0.0 };
             let penalty = if would_displace { UNCACHED_PENALTY } else { penalty };
             let load_ms = if is_shared {
--- a/crates/core/src/balancer/sharing.rs
+++ b/crates/core/src/balancer/sharing.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Balancer;
-use crate::balance::{Ledger, Rejection, Report};
+use crate::balance::{Ledger, Preference, Rejection, Report};
 use crate::id::TargetId;
 use crate::target::Target;
 use crate::time::{Instant, Span};
@@ -15,6 +15,7 @@
 #[derive(Debug)]
 pub(super) struct Sharing {
     pub(super) is_on: bool,
+    pub(super) preference: Preference,
     ledger: Ledger,
     targets: HashMap<[u8; 2], Vec<TargetId>>,
     random: fastrand::Rng,
@@ -35,6 +36,7 @@
     pub(super) fn new(machine: &str) -> Sharing {
         Sharing {
             is_on: false,
+            preference: Preference::Evenness,
             ledger: Ledger::default(),
             targets: HashMap::new(),
             random: fastrand::Rng::with_seed(xxh3_64(machine.as_bytes())),
@@ -68,6 +70,11 @@
         self.sharing.is_on = is_on;
     }
 
+    /// Sets what choices prefer while load is shared; at first [`Preference::Evenness`].
+    pub fn set_preference(&mut self, preference: Preference) {
+        self.sharing.preference = preference;
+    }
+
     /// Whether load is shared.
     pub fn shares_load(&self) -> bool {
         self.sharing.is_on
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -156,13 +156,15 @@
             region: settings.region.clone(),
             centre_regions: settings.regions.clone(),
         };
+        let mut balancer = Balancer::new(config);
+        balancer.set_preference(settings.balance.prefer);
         let state = State {
             route_table: route::Table::default(),
             version: 0,
             limits: INITIAL_LIMITS,
             tenants: None,
             features: Features::default(),
-            balancer: Balancer::new(config),
+            balancer,
             membership: Membership::new(clock::now(), own),
             mirrors: HashMap::new(),
             unlisted: HashSet::new(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 
 use ebonypass_core::allotment::Tolerance;
+use ebonypass_core::balance::Preference;
 use ebonypass_core::time::Span;
 use ebonypass_node::settings::{Check, Fault, check_range};
 use serde::Deserialize;
@@ -43,6 +44,9 @@
     pub times: Times,
     /// Limits that apply to all machines together.
     pub shared: FleetLimits,
+    /// Choice of targets where load is shared.
+    #[serde(default)]
+    pub balance: Balance,
     /// How far the requests of a tenant may exceed its quota.
     #[serde(default)]
     pub quota: Quota,
@@ -226,6 +230,15 @@
     pub lookup: Duration,
 }
 
+/// Choice of targets where load is shared.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Balance {
+    /// What to prefer where an even load and cached objects are at odds.
+    #[serde(default)]
+    pub prefer: Preference,
+}
+
 /// Limits that apply to all machines together.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
