--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! `ebonypass-core` makes the decisions and `ebonypass-platform` encodes and decodes the platform's
 //! formats. This crate connects them with sockets, timers and tasks.
 
-pub mod allotment;
+mod allotment;
 mod attempt;
 mod body;
 mod budget;
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -69,3 +69,28 @@
         assert!(!metrics(gateway).contains("ebonypass_load_reports_total"), "{}", metrics(gateway));
     }
 }
+
+/// A route for uploads asks for shared load: gateways with demand hear each other.
+#[test]
+fn on_by_configuration() {
+    let target = Target::new("t-1", Behaviour::Normal(Duration::from_millis(5)));
+    let store = Store::new();
+    let routes = [ROUTES[0], ROUTES[1], ("/photo/", "upload", "s")];
+    store.put("config", "main", config(2, &routes));
+    store.put("servers", &target.id, target.entry("s", "ready"));
+    let first = Gateway::start_as(&store, "vm-1");
+    let second = Gateway::start_with_seeds(&store, "vm-2", &[&first]);
+    wait_until("lookups return both machines", || {
+        first.addresses().len() == 2 && second.addresses().len() == 2
+    });
+    let mut index = 0;
+    wait_until("both gateways count reports of the other", || {
+        for gateway in [&first, &second] {
+            index += 1;
+            send_request(gateway.callers, &request("GET", "/safe/a", &format!("id-{index}"), ""));
+        }
+        [&first, &second]
+            .iter()
+            .all(|gateway| value(gateway, "ebonypass_load_reports_total{result=\"Received\"}") > 0)
+    });
+}
