--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Case 10. Run it after the build of the deploy file and review/build-2.sh. TROUBLE=0 leaves out the
+# disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+set -u
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review-2/standin-2 lost-machine review/10/record.txt
--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -94,6 +94,24 @@
         received
     }
 
+    /// Sends a request and reads the body of an answer with status 200.
+    pub fn text(&mut self, bytes: &[u8]) -> io::Result<String> {
+        self.send(bytes)?;
+        let head = self.head()?;
+        if head.status != 200 {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        let mut body = std::mem::take(&mut self.rest);
+        while body.len() < head.length {
+            let mut piece = [0; 1_024];
+            match self.stream.read(&mut piece)? {
+                0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+                count => body.extend(&piece[..count]),
+            }
+        }
+        Ok(String::from_utf8_lossy(&body).into_owned())
+    }
+
     /// Sends a request and reads the whole answer; its status.
     pub fn call(&mut self, bytes: &[u8]) -> io::Result<Head> {
         self.send(bytes)?;
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 //! was broken, 0 if it held, and 2 if the case could not run.
 
 mod client;
+mod lost_machine;
 mod platform;
 mod record;
 mod server;
@@ -45,6 +46,7 @@
         "turned-away" => turned_away::run(has_trouble),
         "slow-readers" => slow_readers::run(has_trouble),
         "slow-crowd" => slow_crowd::run(has_trouble),
+        "lost-machine" => lost_machine::run(has_trouble),
         "slow-server" => slow_server::run(has_trouble),
         _ => Err(format!("unknown case {case}")),
     };
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -201,6 +201,11 @@
         let _ = self.child.wait();
     }
 
+    /// Waits until the process has ended.
+    pub fn wait(&mut self) {
+        let _ = self.child.wait();
+    }
+
     /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
