--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -C opt-level=2 -o target/review-2/standin-2 review/standin-2/main.rs
+rustc --edition 2024 -C opt-level=2 -o target/review-2/standin-2 review/standin-2/tests/main.rs
