--- a/review/standin-2/tests/client.rs
+++ b/review/standin-2/tests/client.rs
@@ -4,6 +4,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+use crate::socket::fix_receive_buffer;
+
 /// The head of an answer.
 #[derive(Debug)]
 pub struct Head {
@@ -36,6 +38,7 @@
     pub fn open(address: SocketAddr, read_timeout: Duration) -> io::Result<Connection> {
         let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
         stream.set_nodelay(true)?;
+        fix_receive_buffer(&stream)?;
         stream.set_read_timeout(Some(read_timeout))?;
         Ok(Connection { stream, rest: Vec::new() })
     }
--- a/review/standin-2/tests/main.rs
+++ b/review/standin-2/tests/main.rs
@@ -12,6 +12,7 @@
 mod slow_crowd;
 mod slow_readers;
 mod slow_server;
+mod socket;
 mod store;
 mod turned_away;
 
--- a/review/standin-2/tests/server.rs
+++ b/review/standin-2/tests/server.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::record;
+use crate::socket::fix_receive_buffer;
 
 /// The stack of a thread that serves a connection; there may be many.
 const STACK_BYTES: usize = 128 << 10;
@@ -52,6 +53,7 @@
     /// Starts a server.
     pub fn start(name: &str, behaviour: Behaviour) -> Arc<Server> {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        fix_receive_buffer(&listener).unwrap();
         let server = Arc::new(Server {
             name: name.to_owned(),
             address: listener.local_addr().unwrap(),
--- a/review/standin-2/tests/slow_crowd.rs
+++ b/review/standin-2/tests/slow_crowd.rs
@@ -11,6 +11,7 @@
 use crate::client::{Connection, request};
 use crate::platform::{Machine, Settings, free_addresses};
 use crate::server::{Behaviour, Server};
+use crate::socket::fix_receive_buffer;
 use crate::store::{Route, Store, config};
 use crate::{Verdict, record};
 
@@ -153,7 +154,7 @@
             let call = request("GET", &path, &format!("archive-{opened}"), 30_000, opened as u64 % 40, b"");
             let stream = TcpStream::connect_timeout(&front, Duration::from_secs(1));
             match stream.and_then(|mut stream| stream.write_all(&call).map(|()| stream)) {
-                Ok(stream) if stream.set_nonblocking(true).is_ok() => {
+                Ok(stream) if stream.set_nonblocking(true).and_then(|()| fix_receive_buffer(&stream)).is_ok() => {
                     readers.push(Reader { stream, received: 0, is_done: false });
                 }
                 _ => refused += 1,
