--- a/review/9/run.sh
+++ /dev/null
@@ -1,6 +0,0 @@
-#!/usr/bin/env bash
-# Case 9. Run it after the build of the deploy file and review/build-2.sh. TROUBLE=0 leaves out the
-# disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-set -u
-cd "$(dirname "$0")/../.." || exit 2
-exec target/review-2/standin-2 slow-server review/9/record.txt
