--- a/review/standin-2/tests/main.rs
+++ b/review/standin-2/tests/main.rs
@@ -11,6 +11,7 @@
 mod server;
 mod slow_crowd;
 mod slow_readers;
+mod slow_server;
 mod socket;
 mod store;
 mod turned_away;
@@ -47,6 +48,7 @@
         "slow-readers" => slow_readers::run(has_trouble),
         "slow-crowd" => slow_crowd::run(has_trouble),
         "lost-machine" => lost_machine::run(has_trouble),
+        "slow-server" => slow_server::run(has_trouble),
         _ => Err(format!("unknown case {case}")),
     };
     platform::end_all();
