Test the sum of memory that crowds at the connection limit can reach

Every limit on clients was tested with fewer clients than a process accepts, and only one kind of memory at a time. The new tests let a crowd take all connections with each shape of bodies, heads and unread replies, alone, together and one after the other, for machines of 64, 160, 260 and 512 MB, and count anonymous resident memory and unread bytes at the same moment. The bound is the machine's memory less a tenth, because samples miss short peaks.

--- a/crates/gateway/tests/fake/mod.rs
+++ b/crates/gateway/tests/fake/mod.rs
@@ -4,6 +4,7 @@
 
 #![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
+pub mod crowd;
 mod gateway;
 pub mod store;
 mod target;
