Enlarge a receive buffer only once its memory is reserved

Callers saw the process end: a crowd of chunked bodies left up to 128 KiB unread on each connection while the bodies waited for memory. The receive buffer grew as soon as 16 KiB of a body had been read, before the reservation that counts the buffer, and the reservation ended with the request although a pipelining client could keep the buffer full.

The buffer is now enlarged by the reader of the body when a reservation of its own covers it, and the connection keeps that reservation until the buffer is small again and holds no more than a small one may. The window may use half of the memory for small reservations, so that a body of the largest size is still received at full speed.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -244,6 +244,20 @@
         self.update_reader(|reader, reserved| reader.reserved = reserved);
     }
 
+    /// A reservation of the same budget for an enlarged receive buffer of `bytes`, if they are free
+    /// now. It may take a part of the memory for small reservations, so that the largest body is
+    /// received at full speed.
+    pub fn try_window(&self, bytes: usize) -> Option<Reservation> {
+        let budget = &self.budget;
+        let limit = budget.limits.total + budget.limits.small / 2;
+        if budget.used.get() + bytes > limit {
+            return None;
+        }
+        let mut window = self.sibling();
+        window.add(bytes);
+        Some(window)
+    }
+
     /// Bytes reserved.
     pub fn bytes(&self) -> usize {
         self.bytes
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -2,6 +2,7 @@
 
 mod stream;
 mod table;
+mod upload;
 
 use std::convert::Infallible;
 use std::future::Future;
@@ -29,6 +30,7 @@
 use self::stream::Stream;
 use self::table::{IDLE_RECEIVE_BUFFER, Place};
 pub use self::table::{Limits, Purpose, Table};
+pub use self::upload::Upload;
 use crate::body::{self, Body};
 use crate::connection::set_socket_options;
 use crate::gateway::{Gateway, Phase};
@@ -55,7 +57,7 @@
     gateway: &Rc<Gateway>,
     purpose: Purpose,
     address: SocketAddr,
-    handle: impl Fn(Rc<Gateway>, Request<Incoming>) -> F + Clone + 'static,
+    handle: impl Fn(Rc<Gateway>, Request<Upload>) -> F + Clone + 'static,
 ) -> io::Result<()>
 where
     F: Future<Output = Response<Body>> + 'static,
@@ -88,7 +90,7 @@
     gateway: &Rc<Gateway>,
     purpose: Purpose,
     stream: Async<TcpStream>,
-    handle: impl Fn(Rc<Gateway>, Request<Incoming>) -> F + Clone + 'static,
+    handle: impl Fn(Rc<Gateway>, Request<Upload>) -> F + Clone + 'static,
 ) where
     F: Future<Output = Response<Body>> + 'static,
 {
@@ -124,7 +126,7 @@
 async fn serve_connection_until_stop<F>(
     gateway: &Rc<Gateway>,
     place: &Rc<Place>,
-    handle: impl Fn(Rc<Gateway>, Request<Incoming>) -> F,
+    handle: impl Fn(Rc<Gateway>, Request<Upload>) -> F,
 ) where
     F: Future<Output = Response<Body>>,
 {
@@ -132,6 +134,7 @@
     let service = service_fn(|request: Request<Incoming>| {
         let busy = Busy::new(place);
         let has_body = !request.body().is_end_stream();
+        let request = request.map(|body| Upload::new(body, place.clone()));
         let response = handle(gateway.clone(), request);
         async move {
             let response = response.await;
@@ -232,7 +235,7 @@
 }
 
 /// Answers a lookup with the addresses of ready machines and their TTL.
-pub async fn handle_lookup(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle_lookup(gateway: Rc<Gateway>, request: Request<Upload>) -> Response<Body> {
     if request.uri().path() != directory::LOOKUP_PATH {
         return empty_reply(StatusCode::NOT_FOUND);
     }
@@ -252,7 +255,7 @@
 }
 
 /// Answers a readiness check: 200 if requests can be served, else 503.
-pub async fn handle_readiness(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle_readiness(gateway: Rc<Gateway>, request: Request<Upload>) -> Response<Body> {
     if request.uri().path() != directory::READY_PATH {
         return empty_reply(StatusCode::NOT_FOUND);
     }
@@ -260,7 +263,7 @@
 }
 
 /// Answers with the metrics in OpenMetrics text format.
-pub async fn handle_metrics(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle_metrics(gateway: Rc<Gateway>, request: Request<Upload>) -> Response<Body> {
     if request.uri().path() != "/metrics" {
         return empty_reply(StatusCode::NOT_FOUND);
     }
--- a/crates/gateway/src/listener/table.rs
+++ b/crates/gateway/src/listener/table.rs
@@ -6,6 +6,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::rc::Rc;
 
@@ -14,6 +15,7 @@
 use smol::net::TcpStream;
 use socket2::SockRef;
 
+use crate::budget::Reservation;
 use crate::limit::{Limit, Tally};
 
 /// Receive buffer of a connection that sends no large body. The kernel reserves twice as much.
@@ -63,7 +65,8 @@
     progress_at: Cell<Instant>,
     head_since: Cell<Option<Instant>>,
     head_bytes: Cell<usize>,
-    body_bytes: Cell<usize>,
+    /// Memory of the enlarged receive buffer, while there is one.
+    window: RefCell<Option<Reservation>>,
     is_busy: Cell<bool>,
     /// When the last request ended, if there was one.
     finished_at: Cell<Option<Instant>>,
@@ -127,7 +130,7 @@
             progress_at: Cell::new(clock::now()),
             head_since: Cell::new(None),
             head_bytes: Cell::new(0),
-            body_bytes: Cell::new(0),
+            window: RefCell::default(),
             is_busy: Cell::new(false),
             finished_at: Cell::new(None),
             is_write_blocked: Cell::new(false),
@@ -206,10 +209,6 @@
         let entry = &self.entry;
         entry.progress_at.set(clock::now());
         if entry.is_busy.get() {
-            let before = entry.body_bytes.replace(entry.body_bytes.get() + bytes);
-            if before <= IDLE_RECEIVE_BUFFER && entry.body_bytes.get() > IDLE_RECEIVE_BUFFER {
-                self.set_receive_buffer(self.table.limits.socket_buffer);
-            }
             return;
         }
         let now = clock::now();
@@ -226,6 +225,27 @@
         }
     }
 
+    /// Enlarges the receive buffer for a large body. `memory` covers what may then be unread.
+    pub fn widen(&self, memory: Reservation) {
+        self.entry.window.replace(Some(memory));
+        self.set_receive_buffer(self.table.limits.socket_buffer);
+    }
+
+    /// Gives the memory of an enlarged receive buffer back, unless the buffer is still in use: a
+    /// client may have sent more than the body.
+    fn narrow(&self) {
+        if self.entry.window.borrow().is_none() {
+            return;
+        }
+        self.set_receive_buffer(IDLE_RECEIVE_BUFFER);
+        let mut bytes = [MaybeUninit::uninit(); IDLE_RECEIVE_BUFFER + 1];
+        let unread = SockRef::from(&self.entry.socket).peek(&mut bytes);
+        if unread.is_ok_and(|unread| unread > IDLE_RECEIVE_BUFFER) {
+            return;
+        }
+        self.entry.window.take();
+    }
+
     /// Records a write: whether the socket took bytes.
     pub fn record_write(&self, is_blocked: bool) {
         self.entry.is_write_blocked.set(is_blocked);
@@ -246,9 +266,7 @@
         let now = clock::now();
         self.entry.progress_at.set(now);
         self.entry.finished_at.set(Some(now));
-        if self.entry.body_bytes.replace(0) > IDLE_RECEIVE_BUFFER {
-            self.set_receive_buffer(IDLE_RECEIVE_BUFFER);
-        }
+        self.narrow();
     }
 
     fn end_head(&self) {
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -14,13 +14,12 @@
 use ebonypass_node::clock;
 use ebonypass_platform::object::{self, Kind};
 use futures_lite::future;
-use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 
 use crate::body::Body;
 use crate::gateway::Gateway;
-use crate::listener::empty_reply;
+use crate::listener::{Upload, empty_reply};
 use crate::store::{Client, Error};
 use crate::sync::Source;
 
@@ -51,7 +50,7 @@
 const NO_WAIT_QUERY: &str = "now";
 
 /// Answers a peer's poll (long poll): replies once objects are newer than the peer's copy.
-pub async fn handle_poll(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle_poll(gateway: Rc<Gateway>, request: Request<Upload>) -> Response<Body> {
     let Some((kind, known)) = scan_path(request.uri().path()) else {
         return empty_reply(StatusCode::NOT_FOUND);
     };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -19,7 +19,6 @@
 use ebonypass_node::clock;
 use ebonypass_node::event::Event;
 use ebonypass_platform::header::{self, RequestMetadata};
-use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response, Uri, header as http_header};
 use serde_json::{Value, json};
 
@@ -28,6 +27,7 @@
 use crate::body::Body;
 use crate::budget::Reservation;
 use crate::gateway::{Gateway, Phase};
+use crate::listener::Upload;
 use crate::metric::Ending;
 use crate::payload::Payload;
 
@@ -133,7 +133,7 @@
 }
 
 /// Handles a caller's request, and records how it ended.
-pub async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle(gateway: Rc<Gateway>, request: Request<Upload>) -> Response<Body> {
     let arrived = clock::now();
     let mut in_flight = InFlightGuard::new(&gateway, arrived);
     let (parts, body) = request.into_parts();
--- a/crates/gateway/src/request/body.rs
+++ b/crates/gateway/src/request/body.rs
@@ -9,11 +9,11 @@
 use http_body::Body as HttpBody;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
-use hyper::body::Incoming;
 
 use crate::budget::Reservation;
 use crate::gateway::Gateway;
 use crate::limit::Limit;
+use crate::listener::Upload;
 use crate::payload::{Collector, Payload};
 
 /// How long a body waits for memory that other bodies use. A caller gives up a request that is not
@@ -21,7 +21,7 @@
 const MAX_BODY_WAIT: Span = Span::from_millis(500);
 /// Memory of a header, beside its name and value.
 const HEADER_OVERHEAD: usize = 64;
-/// A body larger than this may leave the enlarged receive buffer of its connection full.
+/// A body larger than this is received with an enlarged receive buffer.
 const SMALL_BODY_BYTES: usize = 16 << 10;
 
 /// Receives a body of at most `limit` bytes. The reservation covers the body and `headers`.
@@ -30,7 +30,7 @@
 pub(super) async fn receive(
     gateway: &Rc<Gateway>,
     headers: &HeaderMap,
-    body: Incoming,
+    body: Upload,
     limit: usize,
     deadline: Instant,
 ) -> Result<(Payload, Reservation), Reason> {
@@ -43,8 +43,8 @@
     let total = gateway.settings.limits.body_budget();
     let sizes = Sizes {
         head: head_bytes(headers),
-        // The kernel reserves twice the size of the buffer.
-        socket_buffer: 2 * gateway.settings.limits.socket_buffer(),
+        // The kernel lets twice the size of the buffer in.
+        window: 2 * gateway.settings.limits.socket_buffer(),
         total,
         limit,
     };
@@ -73,7 +73,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Sizes {
     head: usize,
-    socket_buffer: usize,
+    window: usize,
     total: usize,
     limit: usize,
 }
@@ -81,15 +81,14 @@
 impl Sizes {
     /// The reservation for a body that takes `capacity`. None if there is never as much.
     fn reservation(&self, capacity: usize) -> Option<usize> {
-        let socket_buffer = if capacity > SMALL_BODY_BYTES { self.socket_buffer } else { 0 };
         // A body of the permitted size is served on a machine with just that memory for bodies.
-        let bytes = (capacity + self.head + socket_buffer).min(self.total.max(self.head));
+        let bytes = (capacity + self.head).min(self.total.max(self.head));
         (capacity <= self.total).then_some(bytes)
     }
 }
 
 async fn collect(
-    mut body: Incoming,
+    mut body: Upload,
     stated: usize,
     sizes: Sizes,
     mut reservation: Reservation,
@@ -99,6 +98,7 @@
     // other half-read.
     let limit = if stated > 0 { stated } else { sizes.limit };
     reserve(&mut reservation, sizes.reservation(stated), deadline).await?;
+    let mut is_wide = stated > SMALL_BODY_BYTES && widen(&body, &reservation, sizes.window);
     let mut collector = Collector::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Reason::HeadMalformed)?;
@@ -107,7 +107,10 @@
             return Err(Reason::BodyTooLarge);
         }
         let capacity = collector.capacity_with(data.len(), limit);
-        reserve(&mut reservation, sizes.reservation(capacity.max(stated)), deadline).await?;
+        let capacity = capacity.max(stated);
+        reserve(&mut reservation, sizes.reservation(capacity), deadline).await?;
+        is_wide =
+            is_wide || capacity > SMALL_BODY_BYTES && widen(&body, &reservation, sizes.window);
         collector.push(&data, limit);
         reservation.record_received(collector.length());
     }
@@ -115,6 +118,17 @@
     Ok((collector.finish(), reservation))
 }
 
+/// Enlarges the receive buffer of the connection if there is memory for `window` now. Until then a
+/// client can leave no more unread than on any other connection.
+fn widen(body: &Upload, reservation: &Reservation, window: usize) -> bool {
+    let memory = reservation.try_window(window);
+    let is_wide = memory.is_some();
+    if let Some(memory) = memory {
+        body.widen(memory);
+    }
+    is_wide
+}
+
 async fn reserve(
     reservation: &mut Reservation,
     bytes: Option<usize>,
--- a/crates/gateway/src/request/read.rs
+++ b/crates/gateway/src/request/read.rs
@@ -8,7 +8,6 @@
 use ebonypass_node::clock;
 use ebonypass_platform::header::{self, RequestMetadata};
 use futures_lite::future;
-use hyper::body::Incoming;
 use hyper::header as http_header;
 use hyper::http::request::Parts;
 use xxhash_rust::xxh3::xxh3_64;
@@ -17,6 +16,7 @@
 use super::quota::Token;
 use super::{InFlightGuard, Job, MatchedRoute};
 use crate::gateway::{Gateway, Phase};
+use crate::listener::Upload;
 
 /// Requests time out this long before the caller's own deadline, so that the error reply arrives in
 /// time.
@@ -27,7 +27,7 @@
     in_flight: &mut InFlightGuard,
     metadata: Result<RequestMetadata, header::Error>,
     parts: Parts,
-    body: Incoming,
+    body: Upload,
 ) -> Result<Job, Rejection> {
     let (gateway, arrived) = (in_flight.gateway.clone(), in_flight.arrived);
     let gateway = &gateway;
