Bound what requests at targets take beside their counted bytes

Each such request took up to several hundred KiB more: 256 KiB unread on the connection to the target, reads and pieces of 32 KiB that were added to the budget although they were not free, and a write buffer of hyper's that never shrinks. Nothing limited their number but the connections of callers.

A request now needs a transfer permit before it is sent, and keeps it until its reply is written, also after hyper has dropped the body. Permits are limited by memory and descriptors; a request waits up to 500 ms for one and is then refused as not run, and a caller that does not read gives way. What a permit stands for is small: a receive buffer of 32 KiB set before the connection opens, reads of 8 KiB unless memory for larger ones is reserved, segments of 16 KiB, and vectored writes in place of the write buffer. The receive buffers of large bodies get a share of their own.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,9 +17,11 @@
 use serde_json::json;
 use smol::Timer;
 
-use crate::body::{Body, Rest};
-use crate::budget::Reservation;
-use crate::connection::{Connection, Error as ConnectionError, error_with_source};
+use crate::body::{Body, Rest, Source};
+use crate::budget::{Memory, Reservation, Transfer};
+use crate::connection::{
+    Connection, Error as ConnectionError, LARGE_REPLY_BYTES, error_with_source,
+};
 use crate::gateway::Gateway;
 use crate::payload::{Collector, Payload};
 use crate::pool;
@@ -30,6 +32,9 @@
 /// retried or reported as failed; a longer one is streamed.
 const MAX_BUFFERED_REPLY_BYTES: usize = 256 << 10;
 
+/// A reply larger than this is received with an enlarged receive buffer.
+const SMALL_REPLY_BYTES: usize = 8 << 10;
+
 /// A target's reply, fully buffered or with a streamed rest.
 pub(crate) struct Reply {
     pub(crate) status: StatusCode,
@@ -67,7 +72,12 @@
 }
 
 /// Sends a request to one target and reads its reply, reusing an idle connection if possible.
-pub(crate) async fn send_attempt(gateway: &Rc<Gateway>, job: &Job, choice: &Choice) -> Outcome {
+pub(crate) async fn send_attempt(
+    gateway: &Rc<Gateway>,
+    job: &Job,
+    choice: &Choice,
+    transfer: Transfer,
+) -> Outcome {
     let target = choice.target;
     let (name, address) = {
         let state = gateway.state();
@@ -113,7 +123,7 @@
             return Outcome::Lost(error);
         }
     };
-    read_reply(gateway, job, choice, connection, is_reused, response).await
+    read_reply(gateway, job, choice, (connection, is_reused), response, transfer).await
 }
 
 /// The URI in origin form: path and query only.
@@ -126,9 +136,9 @@
     gateway: &Rc<Gateway>,
     job: &Job,
     choice: &Choice,
-    connection: Connection,
-    is_reused: bool,
+    (connection, is_reused): (Connection, bool),
     response: Response<Incoming>,
+    transfer: Transfer,
 ) -> Outcome {
     let (parts, mut rest) = response.into_parts();
     if !is_final_status(parts.status) {
@@ -149,13 +159,14 @@
     if is_mismatched {
         return Outcome::Lost("the reply is for another request".to_owned());
     }
-    let (start, reservation, is_whole) = match read_start(gateway, &mut rest).await {
+    let mut source = Source { connection, window: None };
+    let (start, reservation, is_whole) = match read_start(gateway, &mut rest, &mut source).await {
         Ok(start) => start,
         Err(_) if metadata.is_not_run => return Outcome::NotRun(balancer::Outcome::Shed),
         Err(error) => return Outcome::Lost(error_with_source(&error)),
     };
     if metadata.is_not_run {
-        put_back(gateway, target, connection, metadata.idle_timeout);
+        put_back(gateway, target, source, metadata.idle_timeout);
         return Outcome::NotRun(if metadata.is_misdirected {
             balancer::Outcome::Gone
         } else {
@@ -178,14 +189,14 @@
     let body = if is_whole {
         let is_reusable = !is_closing(&parts.headers);
         if is_reusable {
-            put_back(gateway, target, connection, metadata.idle_timeout);
+            put_back(gateway, target, source, metadata.idle_timeout);
         }
-        Body::held(start, reservation)
+        Body::held(start, Memory::new(Some(reservation), Some(transfer)))
     } else {
         let time_left = job.deadline.since(clock::now());
         let deadline = Timer::after(clock::duration(time_left));
         let start = (start, reservation);
-        Body::Stream(Box::new(Rest::new(gateway, start, rest, connection, deadline)))
+        Body::Stream(Box::new(Rest::new(gateway, start, rest, source, deadline, transfer)))
     };
     Outcome::Reply(Box::new(Reply { status: parts.status, headers, metadata, body }))
 }
@@ -229,15 +240,13 @@
 }
 
 /// Keeps a connection for further requests, unless its target takes none in this lifetime.
-fn put_back(
-    gateway: &Gateway,
-    target: TargetId,
-    connection: Connection,
-    idle_timeout: Option<Span>,
-) {
+fn put_back(gateway: &Gateway, target: TargetId, source: Source, idle_timeout: Option<Span>) {
+    if source.window.is_some() {
+        source.connection.set_large_reply(false);
+    }
     let state = gateway.state().balancer.target(target).availability().state(clock::now());
     if !matches!(state, State::Leaving | State::Gone) {
-        gateway.pool.put_back(target, connection, idle_timeout);
+        gateway.pool.put_back(target, source.connection, idle_timeout);
     }
 }
 
@@ -253,9 +262,13 @@
 async fn read_start(
     gateway: &Gateway,
     body: &mut Incoming,
+    source: &mut Source,
 ) -> Result<(Payload, Reservation, bool), hyper::Error> {
     let mut reservation = gateway.bodies.reservation();
     let mut start = Collector::default();
+    if body.size_hint().lower() > SMALL_REPLY_BYTES as u64 {
+        widen(source, &reservation);
+    }
     while start.length() < MAX_BUFFERED_REPLY_BYTES {
         let Some(frame) = body.frame().await else {
             return Ok((start.finish(), reservation, true));
@@ -263,15 +276,25 @@
         if let Ok(data) = frame?.into_data() {
             let capacity = start.capacity_with(data.len(), usize::MAX);
             let is_free = reservation.try_grow_reply(capacity);
-            if !is_free {
-                reservation.add(capacity - reservation.bytes());
-            }
             start.push(&data, usize::MAX);
+            // What was read without a reservation is covered by the `Transfer`.
             if !is_free {
                 break;
             }
+            if source.window.is_none() && start.length() > SMALL_REPLY_BYTES {
+                widen(source, &reservation);
+            }
         }
     }
     let is_whole = body.is_end_stream();
     Ok((start.finish(), reservation, is_whole))
 }
+
+/// Lets a large reply arrive faster if there is memory for it.
+fn widen(source: &mut Source, reservation: &Reservation) {
+    let mut window = reservation.sibling();
+    if window.try_grow_reply(LARGE_REPLY_BYTES) {
+        source.connection.set_large_reply(true);
+        source.window = Some(window);
+    }
+}
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -15,10 +15,10 @@
 use hyper::body::Incoming;
 use smol::{Task, Timer};
 
-use crate::budget::Reservation;
+use crate::budget::{Memory, Reservation, Transfer};
 use crate::connection::Connection;
 use crate::gateway::Gateway;
-use crate::payload::Payload;
+use crate::payload::{MAX_SEGMENT_BYTES, Payload};
 
 /// Memory of a piece that is read ahead, beside its bytes.
 const PIECE_OVERHEAD: usize = 64;
@@ -52,7 +52,7 @@
         /// What is left to send.
         payload: Payload,
         /// Memory of the body, if it is counted.
-        _reservation: Option<Reservation>,
+        memory: Memory,
     },
     /// A buffered prefix, followed by the streamed rest.
     Stream(Box<Rest>),
@@ -70,13 +70,31 @@
     left: Option<u64>,
     /// Ends the body at the request's deadline: a target may send without end.
     deadline: Timer,
+    transfer: Option<Transfer>,
     _reader: Task<()>,
 }
 
+/// A target's connection on which the rest of a reply arrives.
+#[derive(Debug)]
+pub struct Source {
+    /// The connection.
+    pub connection: Connection,
+    /// Memory for receiving a large reply.
+    pub window: Option<Reservation>,
+}
+
+/// A piece that was read ahead.
+#[derive(Debug)]
+struct Piece {
+    bytes: Bytes,
+    /// Bytes that are reserved for it.
+    reserved: usize,
+}
+
 /// The part of a target's body that was read and is not sent yet.
 #[derive(Debug)]
 struct ReadAhead {
-    pieces: RefCell<VecDeque<Bytes>>,
+    pieces: RefCell<VecDeque<Piece>>,
     reservation: RefCell<Reservation>,
     end: RefCell<Option<Result<(), hyper::Error>>>,
     has_ended: Cell<bool>,
@@ -89,7 +107,7 @@
 
 impl ReadAhead {
     /// Reads the rest of a target's body, ahead of the caller as far as replies may take memory.
-    async fn fill(&self, mut body: Incoming, connection: Connection) {
+    async fn fill(&self, mut body: Incoming, source: Source) {
         let end = loop {
             match body.frame().await {
                 None => break Ok(()),
@@ -98,35 +116,38 @@
                     if let Ok(data) = frame.into_data()
                         && !data.is_empty()
                     {
-                        self.push(&data).await;
+                        for part in data.chunks(MAX_SEGMENT_BYTES) {
+                            self.push(part).await;
+                        }
                     }
                 }
             }
         };
-        drop(connection);
+        drop(source);
         *self.end.borrow_mut() = Some(end);
         self.has_ended.set(true);
         self.wake();
     }
 
-    /// Adds a piece once there is memory for it, or once all former ones are sent.
-    async fn push(&self, data: &Bytes) {
+    /// Adds a piece once there is memory for it, or once all former ones are sent. One piece is
+    /// covered by the [`Transfer`].
+    async fn push(&self, data: &[u8]) {
         let size = data.len() + PIECE_OVERHEAD;
-        loop {
+        let reserved = loop {
             let drained = self.drained.listen();
             let held = self.reservation.borrow().bytes();
             let is_allowed = held + size <= self.limit;
             if is_allowed && self.reservation.borrow_mut().try_grow_reply(held + size) {
-                break;
+                break size;
             }
             if self.pieces.borrow().is_empty() {
-                self.reservation.borrow_mut().add(size);
-                break;
+                break 0;
             }
             drained.await;
-        }
+        };
         // A copy, since a piece may be a small part of hyper's read buffer and would keep it.
-        self.pieces.borrow_mut().push_back(Bytes::copy_from_slice(data));
+        let bytes = Bytes::copy_from_slice(data);
+        self.pieces.borrow_mut().push_back(Piece { bytes, reserved });
         self.wake();
     }
 
@@ -138,9 +159,9 @@
 
     fn poll_piece(&self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
         if let Some(piece) = self.pieces.borrow_mut().pop_front() {
-            self.reservation.borrow_mut().shrink(piece.len() + PIECE_OVERHEAD);
+            self.reservation.borrow_mut().shrink(piece.reserved);
             self.drained.notify(usize::MAX);
-            return Poll::Ready(Some(Ok(piece)));
+            return Poll::Ready(Some(Ok(piece.bytes)));
         }
         if self.has_ended.get() {
             let end = self.end.borrow_mut().take();
@@ -152,13 +173,14 @@
 }
 
 impl Rest {
-    /// A body of which `start` was read, and `body` is to come on `connection`.
+    /// A body of which `start` was read, and `body` is to come from `source`.
     pub fn new(
         gateway: &Gateway,
         (start, reservation): (Payload, Reservation),
         body: Incoming,
-        connection: Connection,
+        source: Source,
         deadline: Timer,
+        transfer: Transfer,
     ) -> Rest {
         let left = body.size_hint().exact().map(|rest| rest + start.left() as u64);
         let ahead = Rc::new(ReadAhead {
@@ -171,8 +193,9 @@
             limit: gateway.settings.limits.read_ahead(),
         });
         let reader = ahead.clone();
-        let reader = gateway.executor.spawn(async move { reader.fill(body, connection).await });
-        Rest { start, reservation, ahead, left, deadline, _reader: reader }
+        let reader = gateway.executor.spawn(async move { reader.fill(body, source).await });
+        let transfer = Some(transfer);
+        Rest { start, reservation, ahead, left, deadline, transfer, _reader: reader }
     }
 
     fn poll_piece(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
@@ -192,17 +215,25 @@
 impl Body {
     /// Creates a body in memory.
     pub fn whole(bytes: impl Into<Bytes>) -> Body {
-        Body::Whole { payload: Payload::from(bytes.into()), _reservation: None }
+        Body::Whole { payload: Payload::from(bytes.into()), memory: Memory::default() }
     }
 
     /// Creates a body of which the memory is counted.
-    pub fn held(payload: Payload, reservation: Reservation) -> Body {
-        Body::Whole { payload, _reservation: Some(reservation) }
+    pub fn held(payload: Payload, memory: Memory) -> Body {
+        Body::Whole { payload, memory }
     }
 
     /// Creates an empty body.
     pub fn empty() -> Body {
-        Body::Whole { payload: Payload::default(), _reservation: None }
+        Body::Whole { payload: Payload::default(), memory: Memory::default() }
+    }
+
+    /// Takes what must be kept until the last byte has been written.
+    pub fn take_memory(&mut self) -> Memory {
+        match self {
+            Body::Whole { memory, .. } => std::mem::take(memory),
+            Body::Stream(rest) => Memory::new(None, rest.transfer.take()),
+        }
     }
 }
 
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -31,6 +31,10 @@
     pub small: usize,
     /// Bytes up to which replies may be read ahead, so that requests find memory.
     pub replies: usize,
+    /// Bytes that enlarged receive buffers may take in addition.
+    pub windows: usize,
+    /// Requests that may be at targets, or whose replies may be unfinished, at once.
+    pub transfers: usize,
     /// Time without progress after which a body may lose its reservation.
     pub stall: Span,
 }
@@ -42,6 +46,9 @@
     used: Cell<usize>,
     peak: Cell<usize>,
     released: Signal,
+    windows: Cell<usize>,
+    transfers: Cell<usize>,
+    transfer_ended: Signal,
     next_id: Cell<u64>,
     readers: RefCell<BTreeMap<u64, Reader>>,
 }
@@ -90,6 +97,35 @@
     reader: Option<u64>,
 }
 
+/// Memory of an enlarged receive buffer, given back when dropped.
+#[derive(Debug)]
+pub struct Window {
+    budget: Rc<Budget>,
+    bytes: usize,
+}
+
+/// Permission to send a request to a target, from before it is sent until its reply has been
+/// written to the caller. The limit on their number bounds what such requests take beside the bytes
+/// that are counted.
+#[derive(Debug)]
+pub struct Transfer {
+    budget: Rc<Budget>,
+}
+
+/// Memory of a reply that is kept until its last byte has been written.
+#[derive(Debug, Default)]
+pub struct Memory {
+    _reservation: Option<Reservation>,
+    _transfer: Option<Transfer>,
+}
+
+impl Memory {
+    /// Combines what a reply holds.
+    pub fn new(reservation: Option<Reservation>, transfer: Option<Transfer>) -> Memory {
+        Memory { _reservation: reservation, _transfer: transfer }
+    }
+}
+
 impl Budget {
     /// Creates an unused budget.
     pub fn new(limits: Limits) -> Rc<Budget> {
@@ -98,6 +134,9 @@
             used: Cell::new(0),
             peak: Cell::new(0),
             released: Signal::new(),
+            windows: Cell::new(0),
+            transfers: Cell::new(0),
+            transfer_ended: Signal::new(),
             next_id: Cell::new(0),
             readers: RefCell::default(),
         })
@@ -124,6 +163,50 @@
         (Reservation { budget: self.clone(), bytes: 0, reader: Some(id) }, evicted)
     }
 
+    /// Memory of an enlarged receive buffer of `bytes`, if it is free now. It has a share of its
+    /// own, so that the largest body is received at full speed.
+    pub fn try_window(self: &Rc<Self>, bytes: usize) -> Option<Window> {
+        let windows = self.windows.get() + bytes;
+        (windows <= self.limits.windows).then(|| {
+            self.windows.set(windows);
+            Window { budget: self.clone(), bytes }
+        })
+    }
+
+    /// Permission to send a request to a target, if there is one now.
+    pub fn try_transfer(self: &Rc<Self>) -> Option<Transfer> {
+        self.has_transfer().then(|| {
+            self.transfers.set(self.transfers.get() + 1);
+            Transfer { budget: self.clone() }
+        })
+    }
+
+    /// Waits until a request may be sent to a target. Calls `make_room` at intervals; returns false
+    /// if none may be sent before `end`.
+    pub async fn wait_for_transfer(&self, end: Instant, make_room: impl Fn()) -> bool {
+        loop {
+            let ended = self.transfer_ended.listen();
+            if self.has_transfer() {
+                return true;
+            }
+            let now = clock::now();
+            if now >= end {
+                return false;
+            }
+            make_room();
+            future::or(ended, clock::sleep_until(end.min(now + STALL_POLL_INTERVAL))).await;
+        }
+    }
+
+    fn has_transfer(&self) -> bool {
+        self.transfers.get() < self.limits.transfers
+    }
+
+    /// Requests that are at targets or whose replies are unfinished.
+    pub fn transfers(&self) -> usize {
+        self.transfers.get()
+    }
+
     /// Bytes in use.
     pub fn used(&self) -> usize {
         self.used.get()
@@ -227,7 +310,7 @@
     }
 
     /// Adds bytes that are held already, whether or not they are free.
-    pub fn add(&mut self, bytes: usize) {
+    fn add(&mut self, bytes: usize) {
         self.bytes += bytes;
         let used = self.budget.used.get() + bytes;
         self.budget.used.set(used);
@@ -244,20 +327,6 @@
         self.update_reader(|reader, reserved| reader.reserved = reserved);
     }
 
-    /// A reservation of the same budget for an enlarged receive buffer of `bytes`, if they are free
-    /// now. It may take a part of the memory for small reservations, so that the largest body is
-    /// received at full speed.
-    pub fn try_window(&self, bytes: usize) -> Option<Reservation> {
-        let budget = &self.budget;
-        let limit = budget.limits.total + budget.limits.small / 2;
-        if budget.used.get() + bytes > limit {
-            return None;
-        }
-        let mut window = self.sibling();
-        window.add(bytes);
-        Some(window)
-    }
-
     /// Bytes reserved.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -295,6 +364,27 @@
     }
 }
 
+impl Window {
+    /// Whether more than half of the memory for enlarged receive buffers is in use.
+    pub fn is_scarce(&self) -> bool {
+        self.budget.windows.get() > self.budget.limits.windows / 2
+    }
+}
+
+impl Drop for Window {
+    fn drop(&mut self) {
+        self.budget.windows.set(self.budget.windows.get() - self.bytes);
+    }
+}
+
+impl Drop for Transfer {
+    fn drop(&mut self) {
+        let budget = &self.budget;
+        budget.transfers.set(budget.transfers.get() - 1);
+        budget.transfer_ended.notify(1);
+    }
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.complete();
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -11,10 +11,10 @@
 use hyper::{Request, Response};
 use smol::net::TcpStream;
 use smol::{Async, LocalExecutor, Task, Timer};
-use socket2::{SockRef, TcpKeepalive};
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 
 use crate::payload::Payload;
-use crate::stream::{HeadLimit, MAX_READ_BYTES, Stream};
+use crate::stream::{HeadLimit, MAX_READ_BYTES, ReadLimit, SMALL_READ_BYTES, Stream};
 
 /// How long sent bytes may stay unacknowledged. Without it, a request on a connection whose peer no
 /// longer responds would hang until its own timeout.
@@ -24,9 +24,17 @@
 /// Unanswered keepalive probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
-/// Size of the send and receive buffers of an outgoing connection. The kernel would let them grow
-/// to megabytes while a caller reads slowly or a target does not read.
-const SOCKET_BUFFER: usize = 128 << 10;
+/// Size of the send buffer of an outgoing connection. The kernel would let it grow to megabytes
+/// while a target does not read.
+const SEND_BUFFER: usize = 128 << 10;
+/// Number of the error by which a non-blocking `connect` says that it goes on, on Linux.
+const EINPROGRESS: i32 = 115;
+
+/// Size of the receive buffer of an outgoing connection. The kernel lets twice as much in.
+const RECEIVE_BUFFER: usize = 32 << 10;
+/// Memory of a connection that receives a large reply, beyond that of any other connection: three
+/// reads that hyper holds.
+pub const LARGE_REPLY_BYTES: usize = 3 * MAX_READ_BYTES;
 
 /// Why a request received no reply.
 #[derive(Debug)]
@@ -43,6 +51,7 @@
     sender: SendRequest<Payload>,
     socket: TcpStream,
     head_limit: HeadLimit,
+    read_limit: ReadLimit,
     _driver: Task<()>,
 }
 
@@ -59,12 +68,11 @@
             Timer::after(timeout).await;
             Err(io::Error::from(io::ErrorKind::TimedOut))
         };
-        let stream = future::or(Async::<net::TcpStream>::connect(address), timer).await?;
+        let stream = future::or(connect(address), timer).await?;
         set_socket_options(&stream)?;
-        set_socket_buffers(&stream, SOCKET_BUFFER)?;
-        let head_limit = HeadLimit::default();
+        let (head_limit, read_limit) = (HeadLimit::default(), ReadLimit::default());
         let socket = TcpStream::from(stream);
-        let io = Stream::new(socket.clone(), head_limit.clone());
+        let io = Stream::new(socket.clone(), head_limit.clone(), read_limit.clone());
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(MAX_READ_BYTES)
             .handshake(io)
@@ -74,7 +82,7 @@
             // The request in flight receives the error through `sender`.
             let _ = driver.await;
         });
-        Ok(Connection { sender, socket, head_limit, _driver: driver })
+        Ok(Connection { sender, socket, head_limit, read_limit, _driver: driver })
     }
 
     /// Whether the connection is open and can take a request now.
@@ -87,6 +95,12 @@
             && future::poll_once(self.socket.peek(&mut [0])).await.is_none()
     }
 
+    /// Lets the connection read more at once, for a large reply; [`LARGE_REPLY_BYTES`] must be
+    /// reserved meanwhile.
+    pub fn set_large_reply(&self, is_large: bool) {
+        self.read_limit.set(if is_large { MAX_READ_BYTES } else { SMALL_READ_BYTES });
+    }
+
     /// Sends a request and waits for the head of the reply.
     ///
     /// Errors: no reply head arrived; the variant says whether the request was sent.
@@ -126,9 +140,23 @@
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
 
-/// Limits what the kernel holds for a connection. The kernel reserves twice `bytes` each way.
-pub fn set_socket_buffers(stream: &Async<net::TcpStream>, bytes: usize) -> io::Result<()> {
-    let socket = SockRef::from(stream.get_ref());
-    socket.set_recv_buffer_size(bytes)?;
-    socket.set_send_buffer_size(bytes)
+/// Connects with limits on what the kernel holds. They are set before: a sender splits its data by
+/// the largest window that it has seen, and one that is reduced later stalls it.
+async fn connect(address: SocketAddr) -> io::Result<Async<net::TcpStream>> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
+    socket.set_send_buffer_size(SEND_BUFFER)?;
+    socket.set_nonblocking(true)?;
+    let result = socket.connect(&address.into());
+    if let Err(error) = result
+        && error.raw_os_error() != Some(EINPROGRESS)
+    {
+        return Err(error);
+    }
+    let stream = Async::new_nonblocking(net::TcpStream::from(socket))?;
+    stream.writable().await?;
+    match stream.get_ref().take_error()? {
+        Some(error) => Err(error),
+        None => Ok(stream),
+    }
 }
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -26,10 +26,12 @@
     Memory,
     /// A body was larger than allowed.
     BodySize,
+    /// A request was refused: too many replies were unfinished.
+    Transfers,
 }
 
 impl Limit {
-    const ALL: [Limit; 7] = [
+    const ALL: [Limit; 8] = [
         Limit::Connections,
         Limit::Evicted,
         Limit::HeadTime,
@@ -37,6 +39,7 @@
         Limit::Body,
         Limit::Memory,
         Limit::BodySize,
+        Limit::Transfers,
     ];
 }
 
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -139,7 +139,7 @@
         async move {
             let response = response.await;
             busy.0.set_body_unread(has_body && !response.status().is_success());
-            Ok::<_, Infallible>(response.map(|body| Tracked { body, _busy: busy }))
+            Ok::<_, Infallible>(response.map(|body| Tracked { body, busy }))
         }
     });
     let connection = http1::Builder::new()
@@ -204,7 +204,14 @@
 #[derive(Debug)]
 struct Tracked {
     body: Body,
-    _busy: Busy,
+    busy: Busy,
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        // hyper drops a body while it still holds the last pieces.
+        self.busy.0.keep_until_written(self.body.take_memory());
+    }
 }
 
 impl HttpBody for Tracked {
--- a/crates/gateway/src/listener/stream.rs
+++ b/crates/gateway/src/listener/stream.rs
@@ -1,7 +1,7 @@
 //! The stream of an incoming connection, which records progress.
 
 use std::cell::RefCell;
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -65,8 +65,26 @@
         result
     }
 
-    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().socket).poll_flush(context)
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let stream = self.get_mut();
+        let result = Pin::new(&mut stream.socket).poll_write_vectored(context, slices);
+        stream.place.record_write(result.is_pending());
+        result
+    }
+
+    /// Without vectored writes hyper copies replies into a buffer that it never shrinks.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    /// Called when hyper has written all that it held.
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.place.record_flush();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/gateway/src/listener/table.rs
+++ b/crates/gateway/src/listener/table.rs
@@ -15,11 +15,13 @@
 use smol::net::TcpStream;
 use socket2::SockRef;
 
-use crate::budget::Reservation;
+use crate::budget::{Memory, Window};
 use crate::limit::{Limit, Tally};
 
-/// Receive buffer of a connection that sends no large body. The kernel reserves twice as much.
-pub const IDLE_RECEIVE_BUFFER: usize = 16 << 10;
+/// Receive buffer of a connection that sends no large body.
+pub const IDLE_RECEIVE_BUFFER: usize = 8 << 10;
+/// What a client can leave unread in it; the kernel counts the buffers of packets, not their bytes.
+const MAX_IDLE_UNREAD: usize = 12 << 10;
 
 /// Bytes that arrive this soon after a reply may be the rest of a body that the reply refused. They
 /// do not start the time for the next head.
@@ -66,7 +68,9 @@
     head_since: Cell<Option<Instant>>,
     head_bytes: Cell<usize>,
     /// Memory of the enlarged receive buffer, while there is one.
-    window: RefCell<Option<Reservation>>,
+    window: RefCell<Option<Window>>,
+    /// Memory of the last reply, until it has been written.
+    unwritten: RefCell<Memory>,
     is_busy: Cell<bool>,
     /// When the last request ended, if there was one.
     finished_at: Cell<Option<Instant>>,
@@ -131,6 +135,7 @@
             head_since: Cell::new(None),
             head_bytes: Cell::new(0),
             window: RefCell::default(),
+            unwritten: RefCell::default(),
             is_busy: Cell::new(false),
             finished_at: Cell::new(None),
             is_write_blocked: Cell::new(false),
@@ -152,6 +157,14 @@
         }
     }
 
+    /// Closes the connection of the caller that has not read its reply for longest, if there is one
+    /// that has stalled.
+    pub fn close_stalled_reader(&self) {
+        self.close_longest_stalled(|entry| {
+            entry.purpose == Purpose::Callers && entry.is_write_blocked.get()
+        });
+    }
+
     fn close_longest_stalled(&self, includes: impl Fn(&Entry) -> bool) {
         let now = clock::now();
         let entries = self.entries.borrow();
@@ -225,22 +238,28 @@
         }
     }
 
+    /// Whether the receive buffer is enlarged.
+    pub fn is_wide(&self) -> bool {
+        self.entry.window.borrow().is_some()
+    }
+
     /// Enlarges the receive buffer for a large body. `memory` covers what may then be unread.
-    pub fn widen(&self, memory: Reservation) {
+    pub fn widen(&self, memory: Window) {
         self.entry.window.replace(Some(memory));
         self.set_receive_buffer(self.table.limits.socket_buffer);
     }
 
-    /// Gives the memory of an enlarged receive buffer back, unless the buffer is still in use: a
-    /// client may have sent more than the body.
+    /// Gives the memory of an enlarged receive buffer back if others may need it and the buffer is
+    /// not in use: a client may have sent more than the body.
     fn narrow(&self) {
-        if self.entry.window.borrow().is_none() {
+        let is_needed = self.entry.window.borrow().as_ref().is_some_and(Window::is_scarce);
+        if !is_needed {
             return;
         }
         self.set_receive_buffer(IDLE_RECEIVE_BUFFER);
-        let mut bytes = [MaybeUninit::uninit(); IDLE_RECEIVE_BUFFER + 1];
+        let mut bytes = [MaybeUninit::uninit(); MAX_IDLE_UNREAD + 1];
         let unread = SockRef::from(&self.entry.socket).peek(&mut bytes);
-        if unread.is_ok_and(|unread| unread > IDLE_RECEIVE_BUFFER) {
+        if unread.is_ok_and(|unread| unread > MAX_IDLE_UNREAD) {
             return;
         }
         self.entry.window.take();
@@ -254,6 +273,16 @@
         }
     }
 
+    /// Keeps the memory of a reply until all of it has been written.
+    pub fn keep_until_written(&self, memory: Memory) {
+        self.entry.unwritten.replace(memory);
+    }
+
+    /// Records that all replies so far have been written.
+    pub fn record_flush(&self) {
+        self.entry.unwritten.take();
+    }
+
     /// Records that the head of a request is complete.
     pub fn start_request(&self) {
         self.end_head();
--- a/crates/gateway/src/listener/upload.rs
+++ b/crates/gateway/src/listener/upload.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 
 use super::table::Place;
-use crate::budget::Reservation;
+use crate::budget::Window;
 
 /// The body of an incoming request.
 #[derive(Debug)]
@@ -23,9 +23,14 @@
         Upload { body, place }
     }
 
+    /// Whether the receive buffer of the connection is enlarged.
+    pub fn is_wide(&self) -> bool {
+        self.place.is_wide()
+    }
+
     /// Enlarges the receive buffer of the connection. `memory` covers what may then be unread; it
     /// is kept until that has been read.
-    pub fn widen(&self, memory: Reservation) {
+    pub fn widen(&self, memory: Window) {
         self.place.widen(memory);
     }
 }
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -184,6 +184,8 @@
     pub body_bytes: Gauge,
     /// The most bytes that request bodies and replies took at once.
     pub body_bytes_peak: Gauge,
+    /// Requests at targets or with unfinished replies.
+    pub transfers: Gauge,
     /// Used part of the quotas that this machine owns.
     pub quota_usage: Family<QuotaLabels, Gauge<f64, AtomicU64>>,
     /// Requests rejected because of a quota.
@@ -240,6 +242,7 @@
             limited: Family::default(),
             body_bytes: Gauge::default(),
             body_bytes_peak: Gauge::default(),
+            transfers: Gauge::default(),
             quota_usage: Family::default(),
             quota_rejections: Family::default(),
             quota_waits: Counter::default(),
@@ -347,6 +350,11 @@
             Unit::Bytes,
             metrics.body_bytes_peak.clone(),
         );
+        registry.register(
+            "transfers",
+            "Requests at targets or with replies that are not written yet",
+            metrics.transfers.clone(),
+        );
         metrics.register_quotas(&mut registry);
         metrics.register_load(&mut registry);
         Metrics { registry, ..metrics }
--- a/crates/gateway/src/payload.rs
+++ b/crates/gateway/src/payload.rs
@@ -11,9 +11,9 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 
 /// Bounds of the size of a segment. The first segments of a body are small, because most bodies
-/// are.
+/// are. The largest ones bound what hyper holds of a body beyond its own limit.
 const MIN_SEGMENT_BYTES: usize = 4 << 10;
-const MAX_SEGMENT_BYTES: usize = 32 << 10;
+pub const MAX_SEGMENT_BYTES: usize = 16 << 10;
 
 /// A body in memory. Clones share the bytes.
 #[derive(Debug, Clone, Default)]
--- a/crates/gateway/src/request/body.rs
+++ b/crates/gateway/src/request/body.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
 
-use crate::budget::Reservation;
+use crate::budget::{Budget, Reservation};
 use crate::gateway::Gateway;
 use crate::limit::Limit;
 use crate::listener::Upload;
@@ -52,7 +52,9 @@
         eviction.wait().await;
         Err(Reason::QueueFull)
     };
-    let result = future::or(collect(body, stated, sizes, reservation, deadline), evicted).await;
+    let result =
+        future::or(collect(&gateway.bodies, body, stated, sizes, reservation, deadline), evicted)
+            .await;
     match result {
         Err(Reason::QueueFull) if eviction.is_set() => gateway.tally.add(Limit::Body),
         Err(Reason::QueueFull) => gateway.tally.add(Limit::Memory),
@@ -88,6 +90,7 @@
 }
 
 async fn collect(
+    budget: &Rc<Budget>,
     mut body: Upload,
     stated: usize,
     sizes: Sizes,
@@ -98,7 +101,9 @@
     // other half-read.
     let limit = if stated > 0 { stated } else { sizes.limit };
     reserve(&mut reservation, sizes.reservation(stated), deadline).await?;
-    let mut is_wide = stated > SMALL_BODY_BYTES && widen(&body, &reservation, sizes.window);
+    if stated > SMALL_BODY_BYTES {
+        widen(&body, budget, sizes.window);
+    }
     let mut collector = Collector::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Reason::HeadMalformed)?;
@@ -109,8 +114,9 @@
         let capacity = collector.capacity_with(data.len(), limit);
         let capacity = capacity.max(stated);
         reserve(&mut reservation, sizes.reservation(capacity), deadline).await?;
-        is_wide =
-            is_wide || capacity > SMALL_BODY_BYTES && widen(&body, &reservation, sizes.window);
+        if capacity > SMALL_BODY_BYTES {
+            widen(&body, budget, sizes.window);
+        }
         collector.push(&data, limit);
         reservation.record_received(collector.length());
     }
@@ -120,13 +126,12 @@
 
 /// Enlarges the receive buffer of the connection if there is memory for `window` now. Until then a
 /// client can leave no more unread than on any other connection.
-fn widen(body: &Upload, reservation: &Reservation, window: usize) -> bool {
-    let memory = reservation.try_window(window);
-    let is_wide = memory.is_some();
-    if let Some(memory) = memory {
+fn widen(body: &Upload, budget: &Rc<Budget>, window: usize) {
+    if !body.is_wide()
+        && let Some(memory) = budget.try_window(window)
+    {
         body.widen(memory);
     }
-    is_wide
 }
 
 async fn reserve(
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -18,10 +18,15 @@
 use crate::attempt::{Outcome, Reply, send_attempt};
 use crate::body::Body;
 use crate::gateway::Gateway;
+use crate::limit::Limit;
 
 /// Limit on targets tried per request, including those that refuse it.
 const MAX_TARGETS: usize = 4;
 
+/// How long a request waits while the replies of others are unfinished. A caller gives up a request
+/// that is not read within a second.
+const MAX_TRANSFER_WAIT: Span = Span::from_millis(500);
+
 /// Counts an attempt at its target until it finishes. Dropped when the caller disconnects, it
 /// reports the attempt as cancelled.
 struct AttemptGuard {
@@ -65,11 +70,17 @@
     let mut has_sent = false;
     // The latest reply or failure of a target that may have run the request.
     let mut last: Option<Result<Box<Reply>, Reason>> = None;
+    let transfer_end = job.deadline.min(clock::now() + MAX_TRANSFER_WAIT);
     let (reason, retry_after) = loop {
         if let Err(reason) = check_again(gateway, &mut job) {
             // A target has seen the request and has not run it, or `last` says how it ended.
             break (if has_sent { Reason::Shed } else { reason }, None);
         }
+        if !wait_for_transfer(gateway, transfer_end).await {
+            gateway.tally.add(Limit::Transfers);
+            let reason = if has_sent { Reason::Shed } else { Reason::QueueFull };
+            break (reason, Some(MAX_TRANSFER_WAIT));
+        }
         let choice = match place(gateway, &mut job, &tried).await {
             Ok(choice) => choice,
             Err(unplaced) => {
@@ -78,6 +89,10 @@
                 break (reason, retry_after);
             }
         };
+        let Some(transfer) = gateway.bodies.try_transfer() else {
+            // Others took the last one while this request waited for a target.
+            continue;
+        };
         tried.push(choice.target);
         let start = clock::now();
         let was_used = job.token.start_attempt();
@@ -86,7 +101,7 @@
             gateway.wait_for_deadline(job.deadline).await;
             None
         };
-        let attempt = async { Some(send_attempt(gateway, &job, &choice).await) };
+        let attempt = async { Some(send_attempt(gateway, &job, &choice, transfer).await) };
         let outcome = future::or(attempt, timer).await;
         guard.finish(
             outcome.as_ref().map_or(balancer::Outcome::TimedOut, Outcome::balancer_outcome),
@@ -138,6 +153,12 @@
     }
 }
 
+/// Waits until a request may be sent to a target. Callers that do not read their replies give way.
+async fn wait_for_transfer(gateway: &Gateway, end: Instant) -> bool {
+    let make_room = || gateway.connections.close_stalled_reader();
+    gateway.bodies.wait_for_transfer(end, make_room).await
+}
+
 /// The reason of a refusal, when the request may come back, and log fields.
 fn refuse(job: &Job, unplaced: Unplaced, is_first: bool) -> (Reason, Option<Span>, Option<Value>) {
     let without_target = if is_first { Reason::NoTarget } else { Reason::Shed };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -157,6 +157,13 @@
 const SMALL_BODY_SHARE: f64 = 0.1;
 /// Share of the memory for bodies up to which replies are read ahead. The rest stays for requests.
 const REPLY_SHARE: f64 = 0.75;
+/// Share of the memory limit that the enlarged receive buffers of large bodies may take.
+const WINDOW_SHARE: f64 = 0.05;
+/// Share of the memory limit for what requests at targets take beside their counted bytes.
+const TRANSFER_SHARE: f64 = 0.2;
+/// What one of them takes: 64 KiB unread on the connection to the target, three reads of 8 KiB that
+/// hyper holds there, a piece of 8 KiB, 24 KiB that are not written to the caller yet, and tasks.
+const TRANSFER_BYTES: usize = 124 << 10;
 /// Share of the memory limit that unfinished heads may take.
 const HEAD_SHARE: f64 = 0.1;
 
@@ -183,10 +190,18 @@
             total,
             small: ((self.memory_mb << 20) as f64 * SMALL_BODY_SHARE) as usize,
             replies: (total as f64 * REPLY_SHARE) as usize,
+            windows: ((self.memory_mb << 20) as f64 * WINDOW_SHARE) as usize,
+            transfers: self.transfers(),
             stall: Span::from_millis(self.body_stall_ms),
         }
     }
 
+    /// Requests that may be at targets, or whose replies may be unfinished, at once.
+    fn transfers(&self) -> usize {
+        let by_memory = ((self.memory_mb << 20) as f64 * TRANSFER_SHARE) as usize / TRANSFER_BYTES;
+        by_memory.min(self.descriptors / 5).max(1)
+    }
+
     /// Limits on connections. Each listener takes at least one.
     pub fn connection_limits(&self) -> listener::Limits {
         let part = |stated: Option<usize>, default: usize| stated.unwrap_or(default).max(1);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -126,9 +126,13 @@
         };
         let mut connection = match reusable {
             Some(connection) => connection,
-            None => Connection::open(&self.executor, self.address, CONNECT_TIMEOUT)
-                .await
-                .map_err(|error| Error::NoReply(error.to_string()))?,
+            None => {
+                let connection =
+                    Connection::open(&self.executor, self.address, CONNECT_TIMEOUT).await;
+                let connection = connection.map_err(|error| Error::NoReply(error.to_string()))?;
+                connection.set_large_reply(true);
+                connection
+            }
         };
         let request = Request::builder()
             .method(method)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,14 +1,14 @@
 //! The stream of an outgoing connection, which limits what its peer can make this process read.
 
-use std::cell::Cell;
-use std::io;
+use std::cell::{Cell, RefCell};
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
+use futures_lite::{AsyncRead, AsyncWrite};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use smol::net::TcpStream;
-use smol_hyper::rt::FuturesIo;
 
 /// Reads in a row after which other tasks run. hyper reads informational replies in a loop for as
 /// long as there are any.
@@ -16,8 +16,34 @@
 /// Reads for the head of one reply, informational ones included, at most. A read takes up to
 /// [`MAX_READ_BYTES`], and a head is seldom longer than one.
 const MAX_HEAD_READS: u32 = 200;
-/// Limit on the bytes read at once, and so on the head of a reply.
+/// Limit on the bytes read at once while a large reply is received, and on the head of a reply.
 pub const MAX_READ_BYTES: usize = 32 << 10;
+/// Limit on the bytes read at once otherwise. hyper holds up to three reads that were not passed on,
+/// and doubles its buffer once a read of 8 KiB fills it.
+pub const SMALL_READ_BYTES: usize = (8 << 10) - 1;
+
+thread_local! {
+    /// Where bytes are read to before they are copied: hyper's own buffer cannot be read to
+    /// without unsafe code.
+    static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; MAX_READ_BYTES]);
+}
+
+/// Limit on the bytes read at once.
+#[derive(Debug, Clone)]
+pub struct ReadLimit(Rc<Cell<usize>>);
+
+impl Default for ReadLimit {
+    fn default() -> ReadLimit {
+        ReadLimit(Rc::new(Cell::new(SMALL_READ_BYTES)))
+    }
+}
+
+impl ReadLimit {
+    /// Sets the limit.
+    pub fn set(&self, bytes: usize) {
+        self.0.set(bytes.min(MAX_READ_BYTES));
+    }
+}
 
 /// Whether a reply's head is awaited, and the reads that it has taken.
 #[derive(Debug, Clone, Default)]
@@ -44,15 +70,16 @@
 /// A TCP stream with limits on reads.
 #[derive(Debug)]
 pub struct Stream {
-    io: FuturesIo<TcpStream>,
+    socket: TcpStream,
     reads_in_a_row: u32,
     head_limit: HeadLimit,
+    read_limit: ReadLimit,
 }
 
 impl Stream {
     /// Wraps a connected stream.
-    pub fn new(stream: TcpStream, head_limit: HeadLimit) -> Stream {
-        Stream { io: FuturesIo::new(stream), reads_in_a_row: 0, head_limit }
+    pub fn new(socket: TcpStream, head_limit: HeadLimit, read_limit: ReadLimit) -> Stream {
+        Stream { socket, reads_in_a_row: 0, head_limit, read_limit }
     }
 }
 
@@ -60,7 +87,7 @@
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let stream = self.get_mut();
         if stream.reads_in_a_row >= MAX_READS_IN_A_ROW {
@@ -68,7 +95,12 @@
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let result = Pin::new(&mut stream.io).poll_read(context, buffer);
+        let result = SCRATCH.with_borrow_mut(|scratch| {
+            let room = buffer.remaining().min(stream.read_limit.0.get());
+            let read = Pin::new(&mut stream.socket).poll_read(context, &mut scratch[..room]);
+            buffer.put_slice(&scratch[..ready!(read)?]);
+            Poll::Ready(Ok(()))
+        });
         if result.is_pending() {
             stream.reads_in_a_row = 0;
             return result;
@@ -88,14 +120,28 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().io).poll_write(context, bytes)
+        Pin::new(&mut self.get_mut().socket).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().socket).poll_write_vectored(context, slices)
+    }
+
+    /// Without vectored writes hyper copies bodies into a buffer that it never shrinks, and a
+    /// connection that is kept would keep it.
+    fn is_write_vectored(&self) -> bool {
+        true
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().io).poll_flush(context)
+        Pin::new(&mut self.get_mut().socket).poll_flush(context)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().io).poll_shutdown(context)
+        Pin::new(&mut self.get_mut().socket).poll_close(context)
     }
 }
