Derive the limits on clients from one sum of memory

Callers saw a process of 64 MB exceed its memory when chunked bodies, all shapes at once, or one crowd after another took all connections: the shares of bodies, small bodies and heads added up to 60%, and what 512 connections take beside them was not counted. Each waiting body held three reads of 16 KiB in hyper and up to 30 KiB unread.

The new module footprint states what each connection, request, transfer and idle connection takes beside its counted bytes, and derives all limits from memory and descriptors; a test checks that they add up to less than the machine has for 64, 160, 260 and 512 MB. A request now reserves its own overhead before its body is received, and few may wait for that. Reads are 8 KiB unless the receive buffer is enlarged, receive buffers start at 8 KiB (4 KiB on the other listeners), the backlog is limited, and the pool keeps a limited number of idle connections, the most recent ones.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -12,10 +12,12 @@
 use event_listener::Event as Signal;
 use futures_lite::future;
 
+use crate::footprint::UPLOAD_BYTES;
+
 /// Reservations of this size or less may exceed the limit, so that large ones cannot keep them out.
 ///
-/// The largest head and a body of 16 KiB.
-const SMALL_BYTES: usize = 32 << 10;
+/// A request with the largest head and a body of 16 KiB.
+const SMALL_BYTES: usize = UPLOAD_BYTES + (32 << 10);
 /// A body makes progress each time it has received this many bytes. A hundred uploads that share a
 /// link of 10 Mbit/s receive five times as much within the default stall time.
 const PROGRESS_BYTES: usize = 1 << 10;
@@ -35,6 +37,8 @@
     pub windows: usize,
     /// Requests that may be at targets, or whose replies may be unfinished, at once.
     pub transfers: usize,
+    /// Requests without any memory that may wait for it at once.
+    pub waiting: usize,
     /// Time without progress after which a body may lose its reservation.
     pub stall: Span,
 }
@@ -46,6 +50,7 @@
     used: Cell<usize>,
     peak: Cell<usize>,
     released: Signal,
+    waiting: Cell<usize>,
     windows: Cell<usize>,
     transfers: Cell<usize>,
     transfer_ended: Signal,
@@ -134,6 +139,7 @@
             used: Cell::new(0),
             peak: Cell::new(0),
             released: Signal::new(),
+            waiting: Cell::new(0),
             windows: Cell::new(0),
             transfers: Cell::new(0),
             transfer_ended: Signal::new(),
@@ -207,6 +213,11 @@
         self.transfers.get()
     }
 
+    /// Bytes that all bodies may take together.
+    pub fn total(&self) -> usize {
+        self.limits.total
+    }
+
     /// Bytes in use.
     pub fn used(&self) -> usize {
         self.used.get()
@@ -267,6 +278,12 @@
         if bytes > self.budget.limits.total {
             return false;
         }
+        // A request that holds no memory yet is not counted while it waits.
+        let is_first = self.bytes == 0;
+        if is_first && self.budget.waiting.get() >= self.budget.limits.waiting {
+            return false;
+        }
+        let _waiting = is_first.then(|| Waiting::new(&self.budget));
         self.set_waiting(true);
         let mut evict_at = clock::now();
         let is_grown = loop {
@@ -364,6 +381,22 @@
     }
 }
 
+/// Counts a request that waits for its first memory.
+struct Waiting(Rc<Budget>);
+
+impl Waiting {
+    fn new(budget: &Rc<Budget>) -> Waiting {
+        budget.waiting.set(budget.waiting.get() + 1);
+        Waiting(budget.clone())
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.0.waiting.set(self.0.waiting.get() - 1);
+    }
+}
+
 impl Window {
     /// Whether more than half of the memory for enlarged receive buffers is in use.
     pub fn is_scarce(&self) -> bool {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -31,7 +31,7 @@
 const EINPROGRESS: i32 = 115;
 
 /// Size of the receive buffer of an outgoing connection. The kernel lets twice as much in.
-const RECEIVE_BUFFER: usize = 32 << 10;
+const RECEIVE_BUFFER: usize = 24 << 10;
 /// Memory of a connection that receives a large reply, beyond that of any other connection: three
 /// reads that hyper holds.
 pub const LARGE_REPLY_BYTES: usize = 3 * MAX_READ_BYTES;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -177,7 +177,7 @@
         Rc::new(Gateway {
             log: Log::new(&settings.name),
             metrics: Metrics::new(),
-            pool: Pool::new(executor.clone()),
+            pool: Pool::new(executor.clone(), settings.limits.plan().idle_targets()),
             bodies: Budget::new(settings.limits.body_limits()),
             allotments: Allotments::new(&settings),
             waiting: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod budget;
 mod connection;
+pub mod footprint;
 mod gateway;
 mod gossip;
 mod limit;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -25,10 +25,10 @@
 use hyper::{Request, Response, StatusCode, header};
 use smol::{Async, Timer};
 use smol_hyper::rt::SmolTimer;
-use socket2::SockRef;
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 
 use self::stream::Stream;
-use self::table::{IDLE_RECEIVE_BUFFER, Place};
+use self::table::Place;
 pub use self::table::{Limits, Purpose, Table};
 pub use self::upload::Upload;
 use crate::body::{self, Body};
@@ -41,6 +41,9 @@
 const LOOKUP_TTL: Span = Span::from_millis(2_000);
 /// Delay after `accept` failed, usually because file descriptors ran out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Bounds of the connections that may wait to be accepted: enough for callers that return together.
+const MIN_BACKLOG: usize = 32;
+const MAX_BACKLOG: usize = 1_024;
 /// Bounds of what is read and dropped after the last reply on a connection.
 const MAX_DISCARDED_BYTES: usize = 256 << 10;
 const MAX_DISCARD_TIME: Duration = Duration::from_millis(300);
@@ -62,9 +65,7 @@
 where
     F: Future<Output = Response<Body>> + 'static,
 {
-    let listener = Async::<TcpListener>::bind(address)?;
-    // Accepted connections inherit the size, also those that are not accepted yet.
-    SockRef::from(listener.get_ref()).set_recv_buffer_size(IDLE_RECEIVE_BUFFER)?;
+    let listener = bind(address, purpose, gateway.connections.limit(purpose))?;
     let gateway = gateway.clone();
     let executor = gateway.executor.clone();
     let task = async move {
@@ -86,6 +87,22 @@
     Ok(())
 }
 
+/// Connections of a listener that may wait to be accepted, if it takes `limit`. They may have sent
+/// bytes already.
+pub fn backlog(limit: usize) -> usize {
+    (limit / 4).clamp(MIN_BACKLOG, MAX_BACKLOG)
+}
+
+fn bind(address: SocketAddr, purpose: Purpose, limit: usize) -> io::Result<Async<TcpListener>> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    // Accepted connections inherit the size, also those that are not accepted yet.
+    socket.set_recv_buffer_size(purpose.receive_buffer())?;
+    socket.bind(&address.into())?;
+    socket.listen(backlog(limit) as i32)?;
+    Async::new(TcpListener::from(socket))
+}
+
 fn accept_connection<F>(
     gateway: &Rc<Gateway>,
     purpose: Purpose,
@@ -131,6 +148,10 @@
     F: Future<Output = Response<Body>>,
 {
     let limits = gateway.state().limits;
+    let max_head = match place.purpose() {
+        Purpose::Callers => limits.head_bytes.max(MIN_HEAD_BUFFER_BYTES),
+        _ => MIN_HEAD_BUFFER_BYTES,
+    };
     let service = service_fn(|request: Request<Incoming>| {
         let busy = Busy::new(place);
         let has_body = !request.body().is_end_stream();
@@ -147,7 +168,7 @@
         // hyper starts this timer when the connection becomes idle, so it must not be shorter than
         // the time for which callers may keep idle connections.
         .header_read_timeout(clock::duration(limits.idle_timeout))
-        .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER_BYTES))
+        .max_buf_size(max_head)
         .serve_connection(Stream::new(place.clone()), service);
     let mut connection = pin!(connection);
     let closing = async {
--- a/crates/gateway/src/listener/stream.rs
+++ b/crates/gateway/src/listener/stream.rs
@@ -12,8 +12,10 @@
 
 use super::table::Place;
 
-/// Limit on the bytes read at once.
+/// Limit on the bytes read at once with an enlarged receive buffer.
 const MAX_READ_BYTES: usize = 16 << 10;
+/// Limit on the bytes read at once otherwise: hyper doubles its buffer once a read fills it.
+const SMALL_READ_BYTES: usize = (8 << 10) - 1;
 
 thread_local! {
     /// Where bytes are read to before they are copied: hyper's own buffer cannot be read to
@@ -43,7 +45,8 @@
     ) -> Poll<io::Result<()>> {
         let stream = self.get_mut();
         SCRATCH.with_borrow_mut(|scratch| {
-            let room = buffer.remaining().min(MAX_READ_BYTES);
+            let limit = if stream.place.is_wide() { MAX_READ_BYTES } else { SMALL_READ_BYTES };
+            let room = buffer.remaining().min(limit);
             let read = Pin::new(&mut stream.socket).poll_read(context, &mut scratch[..room]);
             let length = ready!(read)?;
             buffer.put_slice(&scratch[..length]);
--- a/crates/gateway/src/listener/table.rs
+++ b/crates/gateway/src/listener/table.rs
@@ -16,13 +16,9 @@
 use socket2::SockRef;
 
 use crate::budget::{Memory, Window};
+use crate::footprint::{CALLER_RECEIVE_BUFFER, CALLER_UNREAD, OTHER_RECEIVE_BUFFER};
 use crate::limit::{Limit, Tally};
 
-/// Receive buffer of a connection that sends no large body.
-pub const IDLE_RECEIVE_BUFFER: usize = 8 << 10;
-/// What a client can leave unread in it; the kernel counts the buffers of packets, not their bytes.
-const MAX_IDLE_UNREAD: usize = 12 << 10;
-
 /// Bytes that arrive this soon after a reply may be the rest of a body that the reply refused. They
 /// do not start the time for the next head.
 const DRAIN_TIME: Span = Span::from_millis(1);
@@ -43,7 +39,16 @@
 }
 
 impl Purpose {
-    const COUNT: usize = 5;
+    /// Number of purposes.
+    pub const COUNT: usize = 5;
+
+    /// Receive buffer of a new connection.
+    pub(super) fn receive_buffer(self) -> usize {
+        match self {
+            Purpose::Callers => CALLER_RECEIVE_BUFFER,
+            _ => OTHER_RECEIVE_BUFFER,
+        }
+    }
 }
 
 /// Limits of a [`Table`].
@@ -116,6 +121,11 @@
         self.counts.iter().map(Cell::get).sum()
     }
 
+    /// Limit on the connections of a listener.
+    pub fn limit(&self, purpose: Purpose) -> usize {
+        self.limits.connections[purpose as usize]
+    }
+
     /// Adds a connection. None if there are too many.
     pub fn admit(self: &Rc<Self>, purpose: Purpose, socket: TcpStream) -> Option<Place> {
         let count = &self.counts[purpose as usize];
@@ -207,6 +217,11 @@
         self.entry.socket.clone()
     }
 
+    /// What the connection is for.
+    pub fn purpose(&self) -> Purpose {
+        self.entry.purpose
+    }
+
     /// Whether the last request was refused and may have left a part of its body unread.
     pub fn is_body_unread(&self) -> bool {
         self.entry.is_body_unread.get()
@@ -256,10 +271,10 @@
         if !is_needed {
             return;
         }
-        self.set_receive_buffer(IDLE_RECEIVE_BUFFER);
-        let mut bytes = [MaybeUninit::uninit(); MAX_IDLE_UNREAD + 1];
+        self.set_receive_buffer(CALLER_RECEIVE_BUFFER);
+        let mut bytes = [MaybeUninit::uninit(); CALLER_UNREAD + 1];
         let unread = SockRef::from(&self.entry.socket).peek(&mut bytes);
-        if unread.is_ok_and(|unread| unread > MAX_IDLE_UNREAD) {
+        if unread.is_ok_and(|unread| unread > CALLER_UNREAD) {
             return;
         }
         self.entry.window.take();
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -55,12 +55,14 @@
     executor: Rc<LocalExecutor<'static>>,
     idle: RefCell<HashMap<TargetId, Vec<Idle>>>,
     idle_limit: RefCell<idle::Limit>,
+    /// Limit on idle connections to all targets.
+    max_idle: usize,
 }
 
 impl Pool {
-    /// Creates an empty pool.
-    pub fn new(executor: Rc<LocalExecutor<'static>>) -> Pool {
-        Pool { executor, idle: RefCell::default(), idle_limit: RefCell::default() }
+    /// Creates an empty pool that keeps at most `max_idle` connections.
+    pub fn new(executor: Rc<LocalExecutor<'static>>, max_idle: usize) -> Pool {
+        Pool { executor, idle: RefCell::default(), idle_limit: RefCell::default(), max_idle }
     }
 
     /// Returns an idle connection that is presumably still open, or opens a new one.
@@ -110,6 +112,9 @@
             connections.remove(0);
         }
         connections.push(Idle { connection, since, idle_timeout });
+        if idle.values().map(Vec::len).sum::<usize>() > self.max_idle {
+            close_oldest(&mut idle);
+        }
     }
 
     /// Closes the idle connections to a target.
@@ -126,3 +131,15 @@
         });
     }
 }
+
+/// Closes the connection that has been idle for longest.
+fn close_oldest(idle: &mut HashMap<TargetId, Vec<Idle>>) {
+    let first = |connections: &Vec<Idle>| connections.first().map(|idle| idle.since);
+    let oldest =
+        idle.iter().filter_map(|(target, connections)| Some((first(connections)?, *target)));
+    if let Some((_, target)) = oldest.min_by_key(|(since, _)| *since)
+        && let Some(connections) = idle.get_mut(&target)
+    {
+        connections.remove(0);
+    }
+}
--- a/crates/gateway/src/request/body.rs
+++ b/crates/gateway/src/request/body.rs
@@ -11,6 +11,7 @@
 use hyper::HeaderMap;
 
 use crate::budget::{Budget, Reservation};
+use crate::footprint::{REQUEST_BYTES, UPLOAD_BYTES, WIDE_READ_BYTES};
 use crate::gateway::Gateway;
 use crate::limit::Limit;
 use crate::listener::Upload;
@@ -40,12 +41,12 @@
         return Err(Reason::BodyTooLarge);
     }
     let (reservation, eviction) = gateway.bodies.reservation_for_reader();
-    let total = gateway.settings.limits.body_budget();
+    let overhead = if body.is_end_stream() { REQUEST_BYTES } else { UPLOAD_BYTES };
     let sizes = Sizes {
-        head: head_bytes(headers),
+        head: overhead + head_bytes(headers),
         // The kernel lets twice the size of the buffer in.
-        window: 2 * gateway.settings.limits.socket_buffer(),
-        total,
+        window: 2 * gateway.settings.limits.socket_buffer() + WIDE_READ_BYTES,
+        total: gateway.bodies.total(),
         limit,
     };
     let evicted = async {
@@ -74,6 +75,7 @@
 /// What the size of a reservation follows from.
 #[derive(Debug, Clone, Copy)]
 struct Sizes {
+    /// What the request takes beside its body.
     head: usize,
     window: usize,
     total: usize,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -12,6 +12,7 @@
 use serde_with::{DurationSecondsWithFrac, serde_as};
 use std::time::Duration;
 
+use crate::footprint::Plan;
 use crate::{budget, listener};
 
 /// Settings of one gateway process. `gateway.example.toml` documents them.
@@ -109,15 +110,16 @@
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Connections {
-    /// Callers; by default half of the descriptors, and at most 8 for each MB of memory.
+    /// Callers; by default half of the descriptors, and at most 7 for each MB of memory.
     pub callers: Option<usize>,
-    /// Lookups; by default a sixteenth of the descriptors.
+    /// Lookups; by default a sixteenth of the descriptors, and at most one for 2 MB of memory.
     pub lookups: Option<usize>,
-    /// Readiness checks; by default a 64th of the descriptors.
+    /// Readiness checks; by default a 64th of the descriptors, and at most one for 4 MB of memory.
     pub readiness: Option<usize>,
-    /// Metrics; by default a 64th of the descriptors.
+    /// Metrics; by default a 64th of the descriptors, and at most one for 4 MB of memory.
     pub metrics: Option<usize>,
-    /// Messages between machines; by default a sixteenth of the descriptors.
+    /// Messages between machines; by default a sixteenth of the descriptors, and at most one for 2 MB of
+    /// memory.
     pub mesh: Option<usize>,
 }
 
@@ -141,36 +143,15 @@
     1_000
 }
 
-/// Callers may have this many connections for each MB of memory: one that stops within a head of
-/// 16 KiB takes about 32 KiB, a fifth of the memory at 160 MB.
-const CALLERS_PER_MB: usize = 8;
-
 /// Share of a core of a machine of strength 1.
 const CPU_SHARE_PER_STRENGTH: f64 = 0.1;
 /// Bandwidth of a machine of strength 1 in Mbit/s.
 const LINK_MBPS_PER_STRENGTH: f64 = 10.0;
 
-/// Share of the memory limit that request bodies may take together. The rest is for the copies of
-/// the store's objects, replies, connections and logs.
-const BODY_SHARE: f64 = 0.4;
-/// Share of the memory limit that small bodies may take in addition.
-const SMALL_BODY_SHARE: f64 = 0.1;
-/// Share of the memory for bodies up to which replies are read ahead. The rest stays for requests.
-const REPLY_SHARE: f64 = 0.75;
-/// Share of the memory limit that the enlarged receive buffers of large bodies may take.
-const WINDOW_SHARE: f64 = 0.05;
-/// Share of the memory limit for what requests at targets take beside their counted bytes.
-const TRANSFER_SHARE: f64 = 0.2;
-/// What one of them takes: 64 KiB unread on the connection to the target, three reads of 8 KiB that
-/// hyper holds there, a piece of 8 KiB, 24 KiB that are not written to the caller yet, and tasks.
-const TRANSFER_BYTES: usize = 124 << 10;
-/// Share of the memory limit that unfinished heads may take.
-const HEAD_SHARE: f64 = 0.1;
-
 impl Limits {
-    /// Bytes that request bodies and replies may take together.
-    pub fn body_budget(&self) -> usize {
-        ((self.memory_mb << 20) as f64 * BODY_SHARE) as usize
+    /// The limits that follow from memory and descriptors.
+    pub fn plan(&self) -> Plan {
+        Plan::new(self.memory_mb, self.descriptors)
     }
 
     /// Send and receive buffer in bytes of a connection that transfers a large body.
@@ -185,37 +166,18 @@
 
     /// Limits on the memory of bodies.
     pub fn body_limits(&self) -> budget::Limits {
-        let total = self.body_budget();
-        budget::Limits {
-            total,
-            small: ((self.memory_mb << 20) as f64 * SMALL_BODY_SHARE) as usize,
-            replies: (total as f64 * REPLY_SHARE) as usize,
-            windows: ((self.memory_mb << 20) as f64 * WINDOW_SHARE) as usize,
-            transfers: self.transfers(),
-            stall: Span::from_millis(self.body_stall_ms),
-        }
-    }
-
-    /// Requests that may be at targets, or whose replies may be unfinished, at once.
-    fn transfers(&self) -> usize {
-        let by_memory = ((self.memory_mb << 20) as f64 * TRANSFER_SHARE) as usize / TRANSFER_BYTES;
-        by_memory.min(self.descriptors / 5).max(1)
+        self.plan().body_limits(Span::from_millis(self.body_stall_ms))
     }
 
     /// Limits on connections. Each listener takes at least one.
     pub fn connection_limits(&self) -> listener::Limits {
-        let part = |stated: Option<usize>, default: usize| stated.unwrap_or(default).max(1);
         let stated = &self.connections;
-        let callers = (self.descriptors / 2).min(self.memory_mb as usize * CALLERS_PER_MB);
+        let stated =
+            [stated.callers, stated.lookups, stated.readiness, stated.metrics, stated.mesh];
+        let defaults = self.plan().connections();
         listener::Limits {
-            connections: [
-                part(stated.callers, callers),
-                part(stated.lookups, self.descriptors / 16),
-                part(stated.readiness, self.descriptors / 64),
-                part(stated.metrics, self.descriptors / 64),
-                part(stated.mesh, self.descriptors / 16),
-            ],
-            head_bytes: ((self.memory_mb << 20) as f64 * HEAD_SHARE) as usize,
+            connections: std::array::from_fn(|at| stated[at].unwrap_or(defaults[at]).max(1)),
+            head_bytes: self.plan().head_bytes(),
             stall: Span::from_millis(self.connection_stall_ms),
             socket_buffer: self.socket_buffer(),
         }
