Limit how long a body waits for memory in all

Callers whose chunked bodies met a crowd waited for up to 500 ms for each part of a body: bodies that were half received held their memory against each other, and every release let many of them take one more part and wait anew.

--- a/crates/gateway/src/request/body.rs
+++ b/crates/gateway/src/request/body.rs
@@ -17,8 +17,9 @@
 use crate::listener::Upload;
 use crate::payload::{Collector, Payload};
 
-/// How long a body waits for memory that other bodies use. A caller gives up a request that is not
-/// read within a second.
+/// How long a body waits for memory that other bodies use, all in all. A caller gives up a request
+/// that is not read within a second. Bodies that had this long for each part would hold what they
+/// have against each other.
 const MAX_BODY_WAIT: Span = Span::from_millis(500);
 /// Memory of a header, beside its name and value.
 const HEADER_OVERHEAD: usize = 64;
@@ -102,7 +103,8 @@
     // All of an announced body is reserved before it is read, so that bodies do not wait for each
     // other half-read.
     let limit = if stated > 0 { stated } else { sizes.limit };
-    reserve(&mut reservation, sizes.reservation(stated), deadline).await?;
+    let mut wait = Wait { left: MAX_BODY_WAIT, deadline };
+    wait.reserve(&mut reservation, sizes.reservation(stated)).await?;
     if stated > SMALL_BODY_BYTES {
         widen(&body, budget, sizes.window);
     }
@@ -115,7 +117,7 @@
         }
         let capacity = collector.capacity_with(data.len(), limit);
         let capacity = capacity.max(stated);
-        reserve(&mut reservation, sizes.reservation(capacity), deadline).await?;
+        wait.reserve(&mut reservation, sizes.reservation(capacity)).await?;
         if capacity > SMALL_BODY_BYTES {
             widen(&body, budget, sizes.window);
         }
@@ -136,12 +138,24 @@
     }
 }
 
-async fn reserve(
-    reservation: &mut Reservation,
-    bytes: Option<usize>,
+/// How long a body may still wait for memory.
+#[derive(Debug, Clone, Copy)]
+struct Wait {
+    left: Span,
     deadline: Instant,
-) -> Result<(), Reason> {
-    let bytes = bytes.ok_or(Reason::QueueFull)?;
-    let wait_end = deadline.min(clock::now() + MAX_BODY_WAIT);
-    if reservation.grow(bytes, wait_end).await { Ok(()) } else { Err(Reason::QueueFull) }
+}
+
+impl Wait {
+    /// Enlarges a reservation to `bytes`, if there may ever be as many.
+    async fn reserve(
+        &mut self,
+        reservation: &mut Reservation,
+        bytes: Option<usize>,
+    ) -> Result<(), Reason> {
+        let bytes = bytes.ok_or(Reason::QueueFull)?;
+        let start = clock::now();
+        let is_grown = reservation.grow(bytes, self.deadline.min(start + self.left)).await;
+        self.left = self.left - clock::now().since(start).min(self.left);
+        if is_grown { Ok(()) } else { Err(Reason::QueueFull) }
+    }
 }
