--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -21,7 +21,7 @@
 #[test_case("memory_mb = 260", "memory_mb = 1", "limits.memory_mb"; "too little memory")]
 #[test_case("cpu_share = 0.2", "cpu_share = 0.0", "limits.cpu_share"; "no processor")]
 #[test_case("link_mbps = 1000", "link_mbps = 0", "limits.link_mbps"; "no link")]
-#[test_case("mesh = 256", "mesh = 0", "limits.connections.mesh"; "a listener without connections")]
+#[test_case("mesh = 130", "mesh = 0", "limits.connections.mesh"; "a listener without connections")]
 #[test_case("body_stall_ms = 400", "body_stall_ms = 1", "limits.body_stall_ms"; "no time for a body")]
 #[test_case("socket_buffer_kb = 64", "socket_buffer_kb = 1", "limits.socket_buffer_kb"; "too small a buffer")]
 #[test_case("repeat_ratio = 0.2", "repeat_ratio = 2.0", "shared.repeat_ratio"; "a ratio over one")]
