Test crowds that return, lose the store, and leave

Clients of the new cases return each time they are refused, so that an ordinary request has to be answered between them; the store is lost and reloads are signalled meanwhile; and after crowds have left, no memory of replies, bodies or transfers may still be counted.

--- a/crates/gateway/tests/memory_sum.rs
+++ b/crates/gateway/tests/memory_sum.rs
@@ -6,12 +6,13 @@
 mod fake;
 
 use std::io::{BufReader, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
 use fake::crowd::{Crowd, Reading, Script};
+use fake::store::Mode;
 use fake::{
     Behaviour, Gateway, Message, ROUTES, Store, Target, Watch, config, send_request, wait_until,
 };
@@ -38,6 +39,7 @@
 const REPLY_BYTES: usize = 540_000;
 /// Body of the ordinary request, the mean of uploads on the platform.
 const ORDINARY_BODY_BYTES: usize = 60_000;
+const METRICS_PORT: u16 = 7621;
 /// One client in this many sends its whole message.
 const WHOLE_INTERVAL: usize = 10;
 
@@ -87,7 +89,7 @@
     machine: Machine,
     gateway: Gateway,
     watch: Watch,
-    _store: Store,
+    store: Store,
     _target: Target,
     _serial: MutexGuard<'static, ()>,
 }
@@ -123,15 +125,20 @@
             gateway.log.lock().unwrap().iter().any(|line| line["event"] == 500)
         });
         let watch = Watch::new(gateway.child.id(), gateway.callers.ip());
-        Bed { machine, gateway, watch, _store: store, _target: target, _serial: serial }
+        Bed { machine, gateway, watch, store, _target: target, _serial: serial }
     }
 
-    /// Lets a crowd of `shapes` in equal parts send, and returns it once it holds what it has.
-    fn crowd(&self, shapes: &'static [Shape]) -> Crowd {
+    /// Starts a crowd of `shapes` in equal parts.
+    fn returning_crowd(&self, shapes: &'static [Shape]) -> Crowd {
         let max_body = self.machine.max_body();
-        let crowd = Crowd::start(self.gateway.callers, self.machine.crowd, move |index| {
+        Crowd::start(self.gateway.callers, self.machine.crowd, move |index| {
             script(shapes[index % shapes.len()], index / shapes.len(), max_body)
-        });
+        })
+    }
+
+    /// Lets a crowd of `shapes` in equal parts send, and returns it once it holds what it has.
+    fn crowd(&self, shapes: &'static [Shape]) -> Crowd {
+        let crowd = self.returning_crowd(shapes);
         thread::sleep(CROWD_TIME);
         crowd.hold();
         crowd
@@ -155,6 +162,21 @@
         });
     }
 
+    /// Checks that nothing of a crowd that has left is still counted.
+    fn check_released(&self) {
+        let address = SocketAddr::new(self.gateway.callers.ip(), METRICS_PORT);
+        let bytes = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        let mut held = Vec::new();
+        wait_until("all memory is given back", || {
+            let reply = send_request(address, bytes).unwrap();
+            let text = String::from_utf8(reply.body).unwrap();
+            let names = ["ebonypass_transfers ", "ebonypass_request_bodies_bytes "];
+            let lines = text.lines().filter(|line| names.iter().any(|name| line.starts_with(name)));
+            held = lines.map(str::to_owned).collect();
+            held.len() == names.len() && held.iter().all(|line| line.ends_with(" 0"))
+        });
+    }
+
     /// Checks the process: nine tenths of its memory, since samples miss short peaks.
     fn check_memory(&mut self) {
         assert!(!self.gateway.has_ended(), "the process has ended");
@@ -299,6 +321,42 @@
     }
     bed.check_upload(machine.max_body(), "the largest body is passed on");
     bed.check_memory();
+    bed.check_released();
+}
+
+/// An ordinary request is answered while the clients of a crowd return each time they are refused.
+#[test_case(&[Shape::Bodies]; "bodies")]
+#[test_case(&[Shape::Chunks]; "chunks")]
+#[test_case(&[Shape::Excess]; "excess")]
+#[test_case(&ALL; "all shapes")]
+fn returning_crowd(shapes: &'static [Shape]) {
+    let mut bed = Bed::new(SMALL);
+    let crowd = bed.returning_crowd(shapes);
+    thread::sleep(CROWD_TIME);
+    bed.check_ordinary();
+    crowd.close();
+    bed.check_memory();
+}
+
+/// A crowd during a loss of the store and reloads must not take the process beyond its limits, and
+/// the store is followed again afterwards.
+#[test]
+fn crowd_without_store() {
+    let mut bed = Bed::new(SMALL);
+    bed.store.set_mode(Mode::Silent);
+    bed.gateway.signal("-HUP");
+    let crowd = bed.crowd(&ALL);
+    bed.gateway.signal("-HUP");
+    bed.check_ordinary();
+    bed.store.set_mode(Mode::Normal);
+    let other = Target::new("t-2", Behaviour::Sized(100));
+    bed.store.put("servers", &other.id, other.entry("s", "ready"));
+    wait_until("a new target is known", || {
+        let log = bed.gateway.log.lock().unwrap();
+        log.iter().filter(|line| line["event"] == 500).count() == 2
+    });
+    bed.check_memory();
+    crowd.close();
 }
 
 /// A stop with a crowd attached ends within the grace period.
