Wake a connection's task when a blocked write succeeds

After a blocked write hyper polls the write once more. If the socket takes all bytes then, it returns without a waker although the body goes on. Both streams now wake the task when a write succeeds after a blocked one, which costs one poll each time.

--- a/crates/gateway/src/listener/stream.rs
+++ b/crates/gateway/src/listener/stream.rs
@@ -11,6 +11,7 @@
 use smol::net::TcpStream;
 
 use super::table::Place;
+use crate::stream::Blockage;
 
 /// Limit on the bytes read at once with an enlarged receive buffer.
 const MAX_READ_BYTES: usize = 16 << 10;
@@ -28,12 +29,13 @@
 pub struct Stream {
     socket: TcpStream,
     place: Rc<Place>,
+    blockage: Blockage,
 }
 
 impl Stream {
     /// Wraps the socket of `place`.
     pub fn new(place: Rc<Place>) -> Stream {
-        Stream { socket: place.socket(), place }
+        Stream { socket: place.socket(), place, blockage: Blockage::default() }
     }
 }
 
@@ -65,6 +67,7 @@
         let stream = self.get_mut();
         let result = Pin::new(&mut stream.socket).poll_write(context, bytes);
         stream.place.record_write(result.is_pending());
+        stream.blockage.record(&result, context);
         result
     }
 
@@ -76,6 +79,7 @@
         let stream = self.get_mut();
         let result = Pin::new(&mut stream.socket).poll_write_vectored(context, slices);
         stream.place.record_write(result.is_pending());
+        stream.blockage.record(&result, context);
         result
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -67,6 +67,25 @@
     }
 }
 
+/// Whether the last write of a connection was blocked.
+///
+/// After a blocked write hyper tries to flush once more. If the socket takes all bytes then, it
+/// returns without a registered waker although the message goes on, and the connection stands still.
+/// So a write that succeeds after a blocked one wakes the connection's task again.
+#[derive(Debug, Default)]
+pub struct Blockage {
+    is_blocked: bool,
+}
+
+impl Blockage {
+    /// Records the result of a write.
+    pub fn record<T>(&mut self, result: &Poll<T>, context: &Context<'_>) {
+        if std::mem::replace(&mut self.is_blocked, result.is_pending()) && result.is_ready() {
+            context.waker().wake_by_ref();
+        }
+    }
+}
+
 /// A TCP stream with limits on reads.
 #[derive(Debug)]
 pub struct Stream {
@@ -74,12 +93,14 @@
     reads_in_a_row: u32,
     head_limit: HeadLimit,
     read_limit: ReadLimit,
+    blockage: Blockage,
 }
 
 impl Stream {
     /// Wraps a connected stream.
     pub fn new(socket: TcpStream, head_limit: HeadLimit, read_limit: ReadLimit) -> Stream {
-        Stream { socket, reads_in_a_row: 0, head_limit, read_limit }
+        let blockage = Blockage::default();
+        Stream { socket, reads_in_a_row: 0, head_limit, read_limit, blockage }
     }
 }
 
@@ -120,7 +141,10 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().socket).poll_write(context, bytes)
+        let stream = self.get_mut();
+        let result = Pin::new(&mut stream.socket).poll_write(context, bytes);
+        stream.blockage.record(&result, context);
+        result
     }
 
     fn poll_write_vectored(
@@ -128,7 +152,10 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().socket).poll_write_vectored(context, slices)
+        let stream = self.get_mut();
+        let result = Pin::new(&mut stream.socket).poll_write_vectored(context, slices);
+        stream.blockage.record(&result, context);
+        result
     }
 
     /// Without vectored writes hyper copies bodies into a buffer that it never shrinks, and a
