Keep a large receive buffer on connections to the store and to peers

The receive buffer of all outgoing connections became 24 KiB with the limit on transfers. Pages of the store and copies between machines have up to 1 MB and do not depend on clients, so their connections keep 128 KiB: over a round trip of 40 ms the smaller buffer would take about a second for a page.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -32,7 +32,7 @@
 /// retried or reported as failed; a longer one is streamed.
 const MAX_BUFFERED_REPLY_BYTES: usize = 256 << 10;
 
-/// A reply larger than this is received with an enlarged receive buffer.
+/// A reply larger than this is read in larger parts.
 const SMALL_REPLY_BYTES: usize = 8 << 10;
 
 /// A target's reply, fully buffered or with a streamed rest.
@@ -159,7 +159,7 @@
     if is_mismatched {
         return Outcome::Lost("the reply is for another request".to_owned());
     }
-    let mut source = Source { connection, window: None };
+    let mut source = Source { connection, memory: None };
     let (start, reservation, is_whole) = match read_start(gateway, &mut rest, &mut source).await {
         Ok(start) => start,
         Err(_) if metadata.is_not_run => return Outcome::NotRun(balancer::Outcome::Shed),
@@ -241,7 +241,7 @@
 
 /// Keeps a connection for further requests, unless its target takes none in this lifetime.
 fn put_back(gateway: &Gateway, target: TargetId, source: Source, idle_timeout: Option<Span>) {
-    if source.window.is_some() {
+    if source.memory.is_some() {
         source.connection.set_large_reply(false);
     }
     let state = gateway.state().balancer.target(target).availability().state(clock::now());
@@ -267,7 +267,7 @@
     let mut reservation = gateway.bodies.reservation();
     let mut start = Collector::default();
     if body.size_hint().lower() > SMALL_REPLY_BYTES as u64 {
-        widen(source, &reservation);
+        read_large_parts(source, &reservation);
     }
     while start.length() < MAX_BUFFERED_REPLY_BYTES {
         let Some(frame) = body.frame().await else {
@@ -281,8 +281,8 @@
             if !is_free {
                 break;
             }
-            if source.window.is_none() && start.length() > SMALL_REPLY_BYTES {
-                widen(source, &reservation);
+            if source.memory.is_none() && start.length() > SMALL_REPLY_BYTES {
+                read_large_parts(source, &reservation);
             }
         }
     }
@@ -290,11 +290,11 @@
     Ok((start.finish(), reservation, is_whole))
 }
 
-/// Lets a large reply arrive faster if there is memory for it.
-fn widen(source: &mut Source, reservation: &Reservation) {
-    let mut window = reservation.sibling();
-    if window.try_grow_reply(LARGE_REPLY_BYTES) {
+/// Reads a large reply in larger parts if there is memory for them.
+fn read_large_parts(source: &mut Source, reservation: &Reservation) {
+    let mut memory = reservation.sibling();
+    if memory.try_grow_reply(LARGE_REPLY_BYTES) {
         source.connection.set_large_reply(true);
-        source.window = Some(window);
+        source.memory = Some(memory);
     }
 }
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -79,8 +79,8 @@
 pub struct Source {
     /// The connection.
     pub connection: Connection,
-    /// Memory for receiving a large reply.
-    pub window: Option<Reservation>,
+    /// Memory for reading a large reply in larger parts.
+    pub memory: Option<Reservation>,
 }
 
 /// A piece that was read ahead.
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -30,8 +30,12 @@
 /// Number of the error by which a non-blocking `connect` says that it goes on, on Linux.
 const EINPROGRESS: i32 = 115;
 
-/// Size of the receive buffer of an outgoing connection. The kernel lets twice as much in.
-const RECEIVE_BUFFER: usize = 24 << 10;
+/// Size of the receive buffer of a connection to a target. The kernel lets twice as much in, and
+/// callers who read slowly make the process leave it unread.
+pub const TARGET_RECEIVE_BUFFER: usize = 24 << 10;
+/// Size of the receive buffer of a connection to the store or another machine: pages of 1 MB must
+/// arrive soon from any region.
+pub const STORE_RECEIVE_BUFFER: usize = 128 << 10;
 /// Memory of a connection that receives a large reply, beyond that of any other connection: three
 /// reads that hyper holds.
 pub const LARGE_REPLY_BYTES: usize = 3 * MAX_READ_BYTES;
@@ -56,19 +60,21 @@
 }
 
 impl Connection {
-    /// Opens a connection to `address` within `timeout`.
+    /// Opens a connection to `address` within `timeout`, with a receive buffer of `receive_buffer`
+    /// bytes.
     ///
     /// Errors: the connection failed or timed out.
     pub async fn open(
         executor: &Rc<LocalExecutor<'static>>,
         address: SocketAddr,
         timeout: Duration,
+        receive_buffer: usize,
     ) -> io::Result<Connection> {
         let timer = async {
             Timer::after(timeout).await;
             Err(io::Error::from(io::ErrorKind::TimedOut))
         };
-        let stream = future::or(connect(address), timer).await?;
+        let stream = future::or(connect(address, receive_buffer), timer).await?;
         set_socket_options(&stream)?;
         let (head_limit, read_limit) = (HeadLimit::default(), ReadLimit::default());
         let socket = TcpStream::from(stream);
@@ -142,9 +148,9 @@
 
 /// Connects with limits on what the kernel holds. They are set before: a sender splits its data by
 /// the largest window that it has seen, and one that is reduced later stalls it.
-async fn connect(address: SocketAddr) -> io::Result<Async<net::TcpStream>> {
+async fn connect(address: SocketAddr, receive_buffer: usize) -> io::Result<Async<net::TcpStream>> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
+    socket.set_recv_buffer_size(receive_buffer)?;
     socket.set_send_buffer_size(SEND_BUFFER)?;
     socket.set_nonblocking(true)?;
     let result = socket.connect(&address.into());
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -12,7 +12,7 @@
 use ebonypass_node::clock;
 use smol::LocalExecutor;
 
-use crate::connection::Connection;
+use crate::connection::{Connection, TARGET_RECEIVE_BUFFER};
 
 /// Connect timeout. Round trips take up to 70 ms. A lost SYN is retransmitted only after 1 s, so
 /// another target is tried sooner.
@@ -82,7 +82,8 @@
             }
         }
         let start = clock::now();
-        let connection = Connection::open(&self.executor, address, CONNECT_TIMEOUT).await;
+        let connection =
+            Connection::open(&self.executor, address, CONNECT_TIMEOUT, TARGET_RECEIVE_BUFFER).await;
         let connection = connection.map_err(|error| error.to_string())?;
         Ok(Checkout { connection, origin: Origin::New(clock::now().since(start)) })
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -13,7 +13,7 @@
 use hyper::{Method, Request, Response, StatusCode, header};
 use smol::{LocalExecutor, Timer};
 
-use crate::connection::{Connection, Error as ConnectionError};
+use crate::connection::{Connection, Error as ConnectionError, STORE_RECEIVE_BUFFER};
 use crate::payload::Payload;
 
 /// Connect timeout. TCP retransmits a SYN lost during a network partition only after seconds, so a
@@ -127,9 +127,14 @@
         let mut connection = match reusable {
             Some(connection) => connection,
             None => {
+                let connection = Connection::open(
+                    &self.executor,
+                    self.address,
+                    CONNECT_TIMEOUT,
+                    STORE_RECEIVE_BUFFER,
+                );
                 let connection =
-                    Connection::open(&self.executor, self.address, CONNECT_TIMEOUT).await;
-                let connection = connection.map_err(|error| Error::NoReply(error.to_string()))?;
+                    connection.await.map_err(|error| Error::NoReply(error.to_string()))?;
                 connection.set_large_reply(true);
                 connection
             }
