Move transfers and windows out of the budget of bodies

budget.rs held three jobs: reservations of bodies, permits for requests at targets, and memory of enlarged receive buffers. The latter two get a file each. Behaviour is unchanged.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -3,6 +3,9 @@
 //! A body that makes no progress while others need its memory loses its reservation; docs/design/
 //! client-memory.md lists what is counted.
 
+mod transfer;
+mod window;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -12,6 +15,8 @@
 use event_listener::Event as Signal;
 use futures_lite::future;
 
+pub use self::transfer::{Transfer, Transfers};
+pub use self::window::{Window, Windows};
 use crate::footprint::UPLOAD_BYTES;
 
 /// Reservations of this size or less may exceed the limit, so that large ones cannot keep them out.
@@ -46,14 +51,15 @@
 /// Bytes that all bodies may take together.
 #[derive(Debug)]
 pub struct Budget {
+    /// Enlarged receive buffers, which have a share of their own.
+    pub windows: Rc<Windows>,
+    /// Requests at targets, which have a share of their own.
+    pub transfers: Rc<Transfers>,
     limits: Limits,
     used: Cell<usize>,
     peak: Cell<usize>,
     released: Signal,
     waiting: Cell<usize>,
-    windows: Cell<usize>,
-    transfers: Cell<usize>,
-    transfer_ended: Signal,
     next_id: Cell<u64>,
     readers: RefCell<BTreeMap<u64, Reader>>,
 }
@@ -102,21 +108,6 @@
     reader: Option<u64>,
 }
 
-/// Memory of an enlarged receive buffer, given back when dropped.
-#[derive(Debug)]
-pub struct Window {
-    budget: Rc<Budget>,
-    bytes: usize,
-}
-
-/// Permission to send a request to a target, from before it is sent until its reply has been
-/// written to the caller. The limit on their number bounds what such requests take beside the bytes
-/// that are counted.
-#[derive(Debug)]
-pub struct Transfer {
-    budget: Rc<Budget>,
-}
-
 /// Memory of a reply that is kept until its last byte has been written.
 #[derive(Debug, Default)]
 pub struct Memory {
@@ -135,14 +126,13 @@
     /// Creates an unused budget.
     pub fn new(limits: Limits) -> Rc<Budget> {
         Rc::new(Budget {
+            windows: Windows::new(limits.windows),
+            transfers: Transfers::new(limits.transfers),
             limits,
             used: Cell::new(0),
             peak: Cell::new(0),
             released: Signal::new(),
             waiting: Cell::new(0),
-            windows: Cell::new(0),
-            transfers: Cell::new(0),
-            transfer_ended: Signal::new(),
             next_id: Cell::new(0),
             readers: RefCell::default(),
         })
@@ -169,50 +159,6 @@
         (Reservation { budget: self.clone(), bytes: 0, reader: Some(id) }, evicted)
     }
 
-    /// Memory of an enlarged receive buffer of `bytes`, if it is free now. It has a share of its
-    /// own, so that the largest body is received at full speed.
-    pub fn try_window(self: &Rc<Self>, bytes: usize) -> Option<Window> {
-        let windows = self.windows.get() + bytes;
-        (windows <= self.limits.windows).then(|| {
-            self.windows.set(windows);
-            Window { budget: self.clone(), bytes }
-        })
-    }
-
-    /// Permission to send a request to a target, if there is one now.
-    pub fn try_transfer(self: &Rc<Self>) -> Option<Transfer> {
-        self.has_transfer().then(|| {
-            self.transfers.set(self.transfers.get() + 1);
-            Transfer { budget: self.clone() }
-        })
-    }
-
-    /// Waits until a request may be sent to a target. Calls `make_room` at intervals; returns false
-    /// if none may be sent before `end`.
-    pub async fn wait_for_transfer(&self, end: Instant, make_room: impl Fn()) -> bool {
-        loop {
-            let ended = self.transfer_ended.listen();
-            if self.has_transfer() {
-                return true;
-            }
-            let now = clock::now();
-            if now >= end {
-                return false;
-            }
-            make_room();
-            future::or(ended, clock::sleep_until(end.min(now + STALL_POLL_INTERVAL))).await;
-        }
-    }
-
-    fn has_transfer(&self) -> bool {
-        self.transfers.get() < self.limits.transfers
-    }
-
-    /// Requests that are at targets or whose replies are unfinished.
-    pub fn transfers(&self) -> usize {
-        self.transfers.get()
-    }
-
     /// Bytes that all bodies may take together.
     pub fn total(&self) -> usize {
         self.limits.total
@@ -397,27 +343,6 @@
     }
 }
 
-impl Window {
-    /// Whether more than half of the memory for enlarged receive buffers is in use.
-    pub fn is_scarce(&self) -> bool {
-        self.budget.windows.get() > self.budget.limits.windows / 2
-    }
-}
-
-impl Drop for Window {
-    fn drop(&mut self) {
-        self.budget.windows.set(self.budget.windows.get() - self.bytes);
-    }
-}
-
-impl Drop for Transfer {
-    fn drop(&mut self) {
-        let budget = &self.budget;
-        budget.transfers.set(budget.transfers.get() - 1);
-        budget.transfer_ended.notify(1);
-    }
-}
-
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.complete();
--- a/crates/gateway/src/request/body.rs
+++ b/crates/gateway/src/request/body.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
 
-use crate::budget::{Budget, Reservation};
+use crate::budget::{Reservation, Windows};
 use crate::footprint::{REQUEST_BYTES, UPLOAD_BYTES, WIDE_READ_BYTES};
 use crate::gateway::Gateway;
 use crate::limit::Limit;
@@ -54,9 +54,11 @@
         eviction.wait().await;
         Err(Reason::QueueFull)
     };
-    let result =
-        future::or(collect(&gateway.bodies, body, stated, sizes, reservation, deadline), evicted)
-            .await;
+    let result = future::or(
+        collect(&gateway.bodies.windows, body, stated, sizes, reservation, deadline),
+        evicted,
+    )
+    .await;
     match result {
         Err(Reason::QueueFull) if eviction.is_set() => gateway.tally.add(Limit::Body),
         Err(Reason::QueueFull) => gateway.tally.add(Limit::Memory),
@@ -93,7 +95,7 @@
 }
 
 async fn collect(
-    budget: &Rc<Budget>,
+    windows: &Rc<Windows>,
     mut body: Upload,
     stated: usize,
     sizes: Sizes,
@@ -106,7 +108,7 @@
     let mut wait = Wait { left: MAX_BODY_WAIT, deadline };
     wait.reserve(&mut reservation, sizes.reservation(stated)).await?;
     if stated > SMALL_BODY_BYTES {
-        widen(&body, budget, sizes.window);
+        widen(&body, windows, sizes.window);
     }
     let mut collector = Collector::default();
     while let Some(frame) = body.frame().await {
@@ -119,7 +121,7 @@
         let capacity = capacity.max(stated);
         wait.reserve(&mut reservation, sizes.reservation(capacity)).await?;
         if capacity > SMALL_BODY_BYTES {
-            widen(&body, budget, sizes.window);
+            widen(&body, windows, sizes.window);
         }
         collector.push(&data, limit);
         reservation.record_received(collector.length());
@@ -130,9 +132,9 @@
 
 /// Enlarges the receive buffer of the connection if there is memory for `window` now. Until then a
 /// client can leave no more unread than on any other connection.
-fn widen(body: &Upload, budget: &Rc<Budget>, window: usize) {
+fn widen(body: &Upload, windows: &Rc<Windows>, window: usize) {
     if !body.is_wide()
-        && let Some(memory) = budget.try_window(window)
+        && let Some(memory) = windows.try_reserve(window)
     {
         body.widen(memory);
     }
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -89,7 +89,7 @@
                 break (reason, retry_after);
             }
         };
-        let Some(transfer) = gateway.bodies.try_transfer() else {
+        let Some(transfer) = gateway.bodies.transfers.try_start() else {
             // Others took the last one while this request waited for a target.
             continue;
         };
@@ -156,7 +156,7 @@
 /// Waits until a request may be sent to a target. Callers that do not read their replies give way.
 async fn wait_for_transfer(gateway: &Gateway, end: Instant) -> bool {
     let make_room = || gateway.connections.close_stalled_reader();
-    gateway.bodies.wait_for_transfer(end, make_room).await
+    gateway.bodies.transfers.wait(end, make_room).await
 }
 
 /// The reason of a refusal, when the request may come back, and log fields.
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -271,7 +271,7 @@
         self.metrics.connections.set(self.connections.count() as i64);
         self.metrics.body_bytes.set(self.bodies.used() as i64);
         self.metrics.body_bytes_peak.set(self.bodies.peak() as i64);
-        self.metrics.transfers.set(self.bodies.transfers() as i64);
+        self.metrics.transfers.set(self.bodies.transfers.count() as i64);
         drop(state);
         let own = SocketAddr::new(self.settings.address, self.settings.listen.callers.port());
         let is_entry = self.lookup_addresses(&self.settings.region).contains(&own);
